--- /dev/null
+++ b/crates/core/src/decide.rs
@@ -0,0 +1,784 @@
+//! The decisions of ottersill: which member of its group runs a statement, when it waits, when it is given up.
+//!
+//! How to call it: build a [`Router`] with `start`, then call `statement`, `outcome`, `probed`, `hosts`,
+//! `list_failed`, `hangup` and `timer` as these happen, with a clock in seconds. Each call answers through the
+//! `Front` it is lent. The types, the `Terms` read at start and the trait `Front` are in `interface.rs`.
+
+use std::collections::BTreeMap;
+use std::hash::{DefaultHasher, Hash, Hasher};
+
+use crate::interface::*;
+
+/// Probes a second for each member while its group polls (the design's default).
+const POLL: f64 = 1.0;
+/// Between probes where the next answer decides something: no primary, a suspect, a position about to age out.
+const POLL_SOON: f64 = 0.25;
+/// Between two looks at what waits and what is silent; well under any SLO time, and rare enough to cost nothing.
+const BEAT: f64 = 0.02;
+/// How long a read that finds no fresh replica waits before it takes the primary.
+const READ_WAIT: f64 = 0.03;
+/// Answers that use this part of the SLO time on average leave room for the long ones; above the second, too few.
+const EASY: f64 = 0.35;
+const TIGHT: f64 = 0.5;
+/// Executions in flight on a member nothing is known of yet.
+const FIRST_LIMIT: f64 = 6.0;
+/// Part of the primary's limit that reads may fill; the rest is kept for writes.
+const READS_ON_PRIMARY: f64 = 0.5;
+/// Silence, in typical answer times summed over what is out, that chance does not explain (e^-7 is 1 in 1000).
+const SILENCE: f64 = 7.0;
+/// First and longest time between trials of a suspect.
+const TRIAL: f64 = 0.5;
+const TRIAL_MAX: f64 = 4.0;
+/// A member silent for longer may have been restarted unseen.
+const MAY_HAVE_RESTARTED: f64 = 1.0;
+/// Further executions of what may have run, as a part of first ones.
+const SECOND_TRIES: f64 = 0.1;
+/// Weight of the newest answer in what is learnt of a member, and of a workload.
+const LEARN: f64 = 0.1;
+const LEARN_SLOWLY: f64 = 0.02;
+
+#[derive(Clone, Copy, Debug, PartialEq)]
+enum State {
+    /// No statement has this index.
+    Vacant,
+    /// In its group's queue; nothing of it is out.
+    Waiting,
+    Executing(usize),
+    /// Called off, the outcome still to come.
+    Recalled(usize),
+    /// Has its final answer, or its client left, while an execution is still out.
+    Abandoned(usize),
+}
+
+impl State {
+    fn out_at(self) -> Option<usize> {
+        match self {
+            State::Executing(host) | State::Recalled(host) | State::Abandoned(host) => Some(host),
+            State::Vacant | State::Waiting => None,
+        }
+    }
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Held {
+    state: State,
+    stmt: Statement,
+    arrived: f64,
+    /// When the client gives up.
+    ends: f64,
+    /// From here on an execution would earn nothing.
+    start_by: f64,
+    /// The position a member needs, for session reads.
+    mark: f64,
+    rank: f64,
+    executions: u32,
+    sent: f64,
+    /// Time and place of the first execution that may have run.
+    ran: Option<(f64, usize)>,
+    /// The last member to turn it away.
+    missed: Option<usize>,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Suspicion {
+    since: f64,
+    trial_at: f64,
+    wait: f64,
+    /// Connections fail, rather than answers fail to come.
+    lost: bool,
+    /// A probe has come back since.
+    probe_ok: bool,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Member {
+    group: usize,
+    site: Option<usize>,
+    size: f64,
+    standing: Standing,
+    drained: bool,
+    started_at: Option<f64>,
+    cold_since: Option<f64>,
+    role: Option<Role>,
+    /// Claims of being primary that are not newer than this are disregarded.
+    denied_at: f64,
+    /// Last known position.
+    lsn: f64,
+    reports: bool,
+    probe_out: bool,
+    probe_failures: u32,
+    probed_at: f64,
+    heard_at: f64,
+    in_flight: usize,
+    /// How many executions this router lets it hold.
+    limit: f64,
+    /// Mean time of answers as a part of their SLO time.
+    load: f64,
+    suspicion: Option<Suspicion>,
+    /// Work sent a second, decayed over the fall span, as of `rate_at`.
+    rate: f64,
+    rate_at: f64,
+}
+
+#[derive(Clone, Debug, Default)]
+struct Group {
+    members: Vec<usize>,
+    pointer: Option<usize>,
+    /// The position with which the pointer's member claimed the role.
+    claim: f64,
+    /// Highest rank first, oldest first within a rank; emptied by sends, rejections and hangups.
+    waiting: Vec<usize>,
+}
+
+/// What differs by workload and is learnt.
+#[derive(Clone, Debug)]
+struct Row {
+    terms: Workload,
+    /// Typical time of an answer.
+    typical: f64,
+    /// The longest time a client gave a try.
+    longest: f64,
+}
+
+/// One router's decisions.
+pub struct Router {
+    terms: Terms,
+    rows: Vec<Row>,
+    members: Vec<Member>,
+    groups: Vec<Group>,
+    /// A slot a statement held by the front; as many as were ever held at once.
+    held: Vec<Held>,
+    /// Statements each tenant may still send within its share, as of the time beside it.
+    shares: Vec<(f64, f64)>,
+    /// Last write of each session, where sessions are remembered; emptied once all its group's members have it.
+    marks: BTreeMap<u64, (f64, usize)>,
+    second_tries: f64,
+    bound: Option<f64>,
+    asked_list: bool,
+    draws: u64,
+}
+
+impl Router {
+    pub fn start(now: f64, terms: Terms, front: &mut impl Front) -> Router {
+        let rows = terms.workloads.iter();
+        let rows = rows.map(|w| Row { terms: w.clone(), typical: w.slo_time / 6.0, longest: 0.0 });
+        let bounds = terms.workloads.iter().filter_map(|w| match w.needs {
+            Needs::Bounded(bound) => Some(bound),
+            _ => None,
+        });
+        let router = Router {
+            rows: rows.collect(),
+            shares: vec![(0.0, now); terms.tenant_rates.len()],
+            members: Vec::new(),
+            groups: Vec::new(),
+            held: Vec::new(),
+            marks: BTreeMap::new(),
+            second_tries: 5.0,
+            bound: bounds.reduce(f64::min),
+            asked_list: true,
+            draws: 0,
+            terms,
+        };
+        if router.terms.list_on_request {
+            front.follow();
+        }
+        front.wake(BEAT);
+        router
+    }
+
+    pub fn statement(&mut self, now: f64, index: usize, stmt: Statement, front: &mut impl Front) {
+        let row = &mut self.rows[stmt.workload];
+        row.longest = row.longest.max(stmt.time_left);
+        // A client that gives this try less than others is on a later one: the rest of its time has passed.
+        let cut = stmt.time_left < row.longest - 0.01;
+        let passed = if cut { (row.terms.statement_timeout - stmt.time_left).max(0.0) } else { 0.0 };
+        let ends = now + stmt.time_left;
+        let slo_at = now + row.terms.slo_time - passed;
+        let useful = if row.terms.late_share > 0.0 { ends } else { ends.min(slo_at) };
+        let start_by = useful - row.typical;
+        let mut rank = row.terms.importance / row.typical;
+        if let Some(tenant) = stmt.tenant {
+            let rate = self.terms.tenant_rates[tenant] / self.terms.routers as f64;
+            let (left, at) = self.shares[tenant];
+            let left = (left + (now - at) * rate).min(rate);
+            let within = left >= 1.0;
+            self.shares[tenant] = (if within { left - 1.0 } else { left }, now);
+            if !within {
+                rank *= self.terms.over_share;
+            }
+        }
+        let mark = match (self.terms.remembers_writes, stmt.session, stmt.since_write) {
+            (true, Some(session), _) => self.marks.get(&session).map_or(0.0, |mark| mark.0),
+            (_, _, since) => since.map_or(0.0, |since| now - since),
+        };
+        while self.groups.len() <= stmt.group {
+            self.groups.push(Group::default());
+        }
+        while self.held.len() <= index {
+            self.held.push(Held {
+                state: State::Vacant,
+                stmt,
+                arrived: now,
+                ends,
+                start_by,
+                mark,
+                rank,
+                executions: 0,
+                sent: now,
+                ran: None,
+                missed: None,
+            });
+        }
+        let fresh =
+            Held { state: State::Vacant, stmt, arrived: now, ends, start_by, mark, rank, ..self.held[index] };
+        self.held[index] = Held { executions: 0, sent: now, ran: None, missed: None, ..fresh };
+        self.second_tries = (self.second_tries + SECOND_TRIES).min(20.0);
+        self.pass(index, State::Waiting);
+        self.place(now, index, front);
+    }
+
+    pub fn outcome(&mut self, now: f64, outcome: &Outcome, front: &mut impl Front) {
+        let Outcome { stmt: index, host, ending, closed, .. } = *outcome;
+        let held = self.held[index];
+        let was_abandoned = matches!(held.state, State::Abandoned(_));
+        self.learn(now, &held, outcome);
+        if !ending.never_ran() && ending != Ending::Completed {
+            self.held[index].ran.get_or_insert((held.sent, host));
+        }
+        if ending == Ending::Miss {
+            self.held[index].missed = Some(host);
+            if !matches!(self.rows[held.stmt.workload].terms.needs, Needs::Primary) {
+                // The position it was known by was not true.
+                let needed = self.needed(held.sent, &held);
+                self.members[host].lsn = self.members[host].lsn.min(needed);
+            }
+        }
+        self.hear(now, host, outcome.note, true);
+        if let Some(report) = outcome.report {
+            self.members[host].reports |= report.role.is_some();
+            self.hear(now, host, report, false);
+        }
+        let at_primary = self.groups[held.stmt.group].pointer == Some(host);
+        if at_primary && matches!(ending, Ending::ConnectFailed | Ending::Reset | Ending::TimedOut) {
+            self.deny(now, host);
+        }
+        if ending == Ending::Miss && matches!(self.rows[held.stmt.workload].terms.needs, Needs::Primary) {
+            self.deny(now, host);
+        }
+        if self.terms.remembers_writes && ending == Ending::Completed {
+            if let (Some(session), Some(lsn), Some(Role::Primary)) =
+                (held.stmt.session, outcome.note.lsn, outcome.note.role)
+            {
+                self.marks.insert(session, (lsn, held.stmt.group));
+            }
+        }
+        if closed || was_abandoned {
+            self.pass(index, State::Vacant);
+        } else {
+            self.pass(index, State::Waiting);
+            self.again(now, index, front);
+        }
+        self.place_waiting(now, held.stmt.group, front);
+    }
+
+    pub fn probed(
+        &mut self,
+        now: f64,
+        host: usize,
+        ok: bool,
+        report: Option<Report>,
+        front: &mut impl Front,
+    ) {
+        let m = &mut self.members[host];
+        m.probe_out = false;
+        if !ok {
+            m.probe_failures += 1;
+            // One probe may be lost, or turned away under a cap; statements that pass outrank it.
+            if m.probe_failures > 1 && m.heard_at < m.probed_at - 0.5 {
+                self.suspect(now, host, true);
+            }
+            return;
+        }
+        m.probe_failures = 0;
+        m.heard_at = now;
+        if let Some(suspicion) = &mut m.suspicion {
+            suspicion.probe_ok = true;
+        }
+        if let Some(report) = report {
+            m.reports |= report.role.is_some() && self.terms.reports == Reports::WithAnswers;
+            self.hear(now, host, report, false);
+        }
+        self.place_waiting(now, self.members[host].group, front);
+    }
+
+    pub fn hosts(&mut self, now: f64, list: &[Listed], front: &mut impl Front) {
+        self.asked_list = true;
+        for listed in list {
+            if listed.host == self.members.len() {
+                self.members.push(Member {
+                    group: listed.group,
+                    site: listed.site,
+                    size: listed.size,
+                    standing: listed.standing,
+                    drained: false,
+                    started_at: listed.started_at,
+                    cold_since: listed.started_at,
+                    role: None,
+                    denied_at: 0.0,
+                    lsn: 0.0,
+                    reports: false,
+                    probe_out: false,
+                    probe_failures: 0,
+                    probed_at: f64::MIN,
+                    heard_at: f64::MIN,
+                    in_flight: 0,
+                    limit: FIRST_LIMIT,
+                    load: EASY,
+                    suspicion: None,
+                    rate: 0.0,
+                    rate_at: now,
+                });
+                while self.groups.len() <= listed.group {
+                    self.groups.push(Group::default());
+                }
+                self.groups[listed.group].members.push(listed.host);
+            }
+            let m = &mut self.members[listed.host];
+            m.size = listed.size.max(0.01);
+            m.standing = listed.standing;
+            m.drained = match listed.standing {
+                Standing::Ready => false,
+                Standing::Draining => true,
+                Standing::Gone => m.drained,
+            };
+            if listed.started_at.is_some() && listed.started_at != m.started_at {
+                m.started_at = listed.started_at;
+                m.cold_since = listed.started_at;
+                m.limit = FIRST_LIMIT;
+            }
+            if self.barred(listed.host) {
+                self.deny(now, listed.host);
+            }
+        }
+        self.poll(now, front);
+        for group in 0..self.groups.len() {
+            self.place_waiting(now, group, front);
+        }
+    }
+
+    pub fn list_failed(&mut self, _now: f64, _front: &mut impl Front) {
+        self.asked_list = false;
+    }
+
+    /// The client left, or its time is up: nothing is owed any more.
+    pub fn hangup(&mut self, _now: f64, index: usize, _front: &mut impl Front) {
+        let next = self.held[index].state.out_at().map_or(State::Vacant, State::Abandoned);
+        self.pass(index, next);
+    }
+
+    pub fn timer(&mut self, now: f64, front: &mut impl Front) {
+        if self.terms.list_on_request && !self.asked_list {
+            self.asked_list = true;
+            front.follow();
+        }
+        self.notice_silence(now, front);
+        self.poll(now, front);
+        for group in 0..self.groups.len() {
+            self.place_waiting(now, group, front);
+            for index in self.groups[group].waiting.clone() {
+                if now >= self.held[index].start_by {
+                    self.give_up(now, index, front);
+                }
+            }
+        }
+        let (members, groups) = (&self.members, &self.groups);
+        self.marks.retain(|_, (lsn, group)| groups[*group].members.iter().any(|m| members[*m].lsn < *lsn));
+        front.wake(BEAT);
+    }
+
+    /// Every change of a statement's state.
+    fn pass(&mut self, index: usize, to: State) {
+        let held = self.held[index];
+        let waiting = &mut self.groups[held.stmt.group].waiting;
+        if held.state == State::Waiting {
+            waiting.retain(|other| *other != index);
+        }
+        if to == State::Waiting {
+            let all = &self.held;
+            let behind = |other: &usize| {
+                let other = &all[*other];
+                (other.rank, -other.arrived) >= (held.rank, -held.arrived)
+            };
+            let place = waiting.partition_point(behind);
+            waiting.insert(place, index);
+        }
+        if held.state.out_at() != to.out_at() {
+            if let Some(host) = held.state.out_at() {
+                self.members[host].in_flight -= 1;
+            }
+            if let Some(host) = to.out_at() {
+                self.members[host].in_flight += 1;
+            }
+        }
+        self.held[index].state = to;
+    }
+
+    /// After an execution that did not complete: what is left to do for its statement.
+    fn again(&mut self, now: f64, index: usize, front: &mut impl Front) {
+        let held = self.held[index];
+        let effect = self.rows[held.stmt.workload].terms.effect;
+        let spent = held.executions >= self.terms.max_executions || now >= held.start_by;
+        let may_have_run = held.ran.is_some();
+        if spent || may_have_run && effect == Effect::NonIdempotent {
+            self.give_up(now, index, front);
+        } else if may_have_run && self.second_tries < 1.0 {
+            // Second tries must not feed the overload that made them needed.
+            self.give_up(now, index, front);
+        }
+    }
+
+    /// The final answer, at once, to what nothing better can come of.
+    fn give_up(&mut self, now: f64, index: usize, front: &mut impl Front) {
+        let held = self.held[index];
+        let harmless = match (self.rows[held.stmt.workload].terms.effect, held.ran) {
+            (Effect::Idempotent, _) | (_, None) => true,
+            (Effect::Deduplicated { within, .. }, Some(_)) => within == Within::Everywhere,
+            (Effect::NonIdempotent, Some(_)) => false,
+        };
+        self.pass(index, State::Vacant);
+        if harmless {
+            // A client that comes back after its SLO time only adds load; until then the sooner the better.
+            let late = now >= held.arrived + self.rows[held.stmt.workload].terms.slo_time;
+            let advice = if late { self.terms.max_retry_after } else { self.terms.max_retry_after.min(0.1) };
+            front.reject(index, advice);
+        } else {
+            front.abort(index);
+        }
+    }
+
+    fn place_waiting(&mut self, now: f64, group: usize, front: &mut impl Front) {
+        for index in self.groups[group].waiting.clone() {
+            self.place(now, index, front);
+        }
+    }
+
+    fn place(&mut self, now: f64, index: usize, front: &mut impl Front) {
+        if now >= self.held[index].start_by {
+            self.give_up(now, index, front);
+        } else if let Some(host) = self.choose(now, &self.held[index].clone()) {
+            self.execute(now, index, host, front);
+        }
+    }
+
+    /// The member to run a statement now, by the design page; none means wait.
+    fn choose(&mut self, now: f64, held: &Held) -> Option<usize> {
+        let group = &self.groups[held.stmt.group];
+        let pointer = group.pointer;
+        let to_primary = |router: &Router| pointer.filter(|host| router.room(now, *host, held));
+        if let Needs::Primary | Needs::Fresh = self.rows[held.stmt.workload].terms.needs {
+            return to_primary(self);
+        }
+        let needed = self.needed(now, held);
+        let replicas = group.members.iter().copied().filter(|host| Some(*host) != pointer);
+        let (fresh, stale): (Vec<usize>, Vec<usize>) = replicas
+            .filter(|host| self.usable(now, *host))
+            .partition(|host| self.members[*host].lsn >= needed);
+        // A primary under suspicion is tried with a read: a write that it swallowed could not be tried again.
+        let trial = pointer.filter(|host| self.members[*host].suspicion.is_some());
+        if let Some(host) = trial.filter(|host| self.room(now, *host, held)) {
+            return Some(host);
+        }
+        if let Some(host) = self.fewest(now, &fresh, held) {
+            return Some(host);
+        }
+        if fresh.is_empty() && self.terms.members_check_reads && held.missed.is_none() {
+            let room = stale.into_iter().filter(|host| self.room(now, *host, held));
+            let ahead = room.max_by(|a, b| self.members[*a].lsn.total_cmp(&self.members[*b].lsn));
+            if ahead.is_some() {
+                return ahead;
+            }
+        }
+        // The last resort is the primary, of which writes keep their part.
+        let waited = !fresh.is_empty() || self.terms.members_check_reads || now - held.arrived >= READ_WAIT;
+        let spare = |host: &usize| {
+            let m = &self.members[*host];
+            (m.in_flight as f64) < m.limit * READS_ON_PRIMARY
+        };
+        to_primary(self).filter(|host| waited && spare(host))
+    }
+
+    fn fewest(&mut self, now: f64, among: &[usize], held: &Held) -> Option<usize> {
+        let mut best: Option<((usize, bool, u64), usize)> = None;
+        for host in among.iter().copied() {
+            if self.room(now, host, held) {
+                let m = self.members[host];
+                let key = (m.in_flight, m.site != self.terms.site, self.chance());
+                if best.is_none_or(|(least, _)| key < least) {
+                    best = Some((key, host));
+                }
+            }
+        }
+        best.map(|(_, host)| host)
+    }
+
+    fn chance(&mut self) -> u64 {
+        self.draws += 1;
+        let mut hasher = DefaultHasher::new();
+        (self.terms.seed, self.draws).hash(&mut hasher);
+        hasher.finish()
+    }
+
+    /// The position a replica must have for this read, if sent at `now`.
+    fn needed(&self, now: f64, held: &Held) -> f64 {
+        match self.rows[held.stmt.workload].terms.needs {
+            Needs::Primary | Needs::Fresh => f64::INFINITY,
+            Needs::Session => held.mark,
+            Needs::Bounded(bound) => now - bound,
+            Needs::Any => f64::NEG_INFINITY,
+        }
+    }
+
+    fn barred(&self, host: usize) -> bool {
+        let m = &self.members[host];
+        match m.standing {
+            Standing::Ready => false,
+            Standing::Draining => true,
+            Standing::Gone => m.drained || !self.terms.only_draining_bars,
+        }
+    }
+
+    fn usable(&self, now: f64, host: usize) -> bool {
+        !self.barred(host) && self.members[host].suspicion.is_none_or(|s| now >= s.trial_at && s.probe_ok)
+    }
+
+    /// Whether a member may be given one more execution, by the rules first, then by its health and its load.
+    fn room(&self, now: f64, host: usize, held: &Held) -> bool {
+        let m = &self.members[host];
+        let row = &self.rows[held.stmt.workload];
+        let data = self.terms.members_check_reads
+            || self.groups[m.group].pointer == Some(host)
+            || m.lsn >= self.needed(now, held);
+        if self.barred(host)
+            || !data
+            || !self.effect_allows(now, host, held)
+            || !self.cold_allows(now, host, row.typical)
+        {
+            return false;
+        }
+        match m.suspicion {
+            Some(s) => {
+                let harmless = s.lost || row.terms.effect == Effect::Idempotent;
+                m.in_flight == 0 && harmless && now >= s.trial_at && s.probe_ok
+            }
+            None => (m.in_flight as f64) < m.limit.floor(),
+        }
+    }
+
+    fn effect_allows(&self, now: f64, host: usize, held: &Held) -> bool {
+        match (self.rows[held.stmt.workload].terms.effect, held.ran) {
+            (Effect::Idempotent, _) | (_, None) => true,
+            (Effect::NonIdempotent, Some(_)) => false,
+            (Effect::Deduplicated { within, window }, Some((at, ran))) => {
+                let same_site = self.members[ran].site == self.members[host].site;
+                now < at + window && (within != Within::Site || same_site)
+            }
+        }
+    }
+
+    /// Guards against pushing over a cold host. Each router sends it the part of what it sends to warm members
+    /// that the host's part of its capacity allows, so that all routers together stay under one warm load.
+    fn cold_allows(&self, now: f64, host: usize, work: f64) -> bool {
+        let m = &self.members[host];
+        let Some(since) = m.cold_since.filter(|since| now < since + self.terms.warm_after) else {
+            return true;
+        };
+        let grown = ((now - since) / self.terms.warm_after).clamp(0.0, 1.0);
+        let part = self.terms.cold_part + (1.0 - self.terms.cold_part) * grown;
+        let warm = |other: &&Member| {
+            other.cold_since.is_none_or(|since| now >= since + self.terms.warm_after)
+                && other.suspicion.is_none()
+        };
+        let near: Vec<&Member> = self.members.iter().filter(|o| o.group == m.group).filter(warm).collect();
+        let warm: Vec<&Member> =
+            if near.is_empty() { self.members.iter().filter(warm).collect() } else { near };
+        let sent: f64 = warm.iter().map(|o| self.rate(now, o) / o.size).sum();
+        let allowed = part * m.size * sent / warm.len().max(1) as f64;
+        self.rate(now, m) + work / self.terms.fall_span <= allowed
+    }
+
+    fn rate(&self, now: f64, m: &Member) -> f64 {
+        m.rate * (-(now - m.rate_at) / self.terms.fall_span).exp()
+    }
+
+    /// Every execution passes here; what `room` has allowed is counted.
+    fn execute(&mut self, now: f64, index: usize, host: usize, front: &mut impl Front) {
+        let held = self.held[index];
+        let row = &self.rows[held.stmt.workload];
+        if held.ran.is_some() {
+            self.second_tries -= 1.0;
+        }
+        let rate = self.rate(now, &self.members[host]) + row.typical / self.terms.fall_span;
+        // A trial must leave time for a second execution elsewhere.
+        let time_out = if self.members[host].suspicion.is_some() { row.terms.slo_time / 2.0 } else { 0.0 };
+        let m = &mut self.members[host];
+        (m.rate, m.rate_at) = (rate, now);
+        if let Some(s) = &mut m.suspicion {
+            s.wait = (s.wait * 2.0).min(TRIAL_MAX);
+            s.trial_at = now + s.wait;
+        }
+        let held = &mut self.held[index];
+        held.executions += 1;
+        held.sent = now;
+        self.pass(index, State::Executing(host));
+        front.execute(index, host, time_out);
+    }
+
+    /// Role and position from an answer, which speaks of now, or from a report, which speaks of its position.
+    fn hear(&mut self, now: f64, host: usize, said: Report, answer: bool) {
+        let m = &mut self.members[host];
+        let lsn = said.lsn.filter(|lsn| *lsn <= now);
+        m.lsn = m.lsn.max(lsn.unwrap_or(0.0));
+        let Some(role) = said.role else { return };
+        let at = if answer { now } else { lsn.unwrap_or(0.0) };
+        let group = &mut self.groups[m.group];
+        match role {
+            Role::Primary if at > m.denied_at => {
+                m.role = Some(role);
+                if group.pointer.is_none() || group.pointer == Some(host) || at > group.claim {
+                    (group.pointer, group.claim) = (Some(host), at);
+                }
+            }
+            Role::Primary => {}
+            Role::Replica if answer => self.deny(now, host),
+            Role::Replica if group.pointer != Some(host) => m.role = Some(role),
+            Role::Replica if at > group.claim => self.deny(now, host),
+            Role::Replica => {}
+        }
+    }
+
+    /// The member is not the primary, as of now; what it said of itself before counts no more.
+    fn deny(&mut self, now: f64, host: usize) {
+        let m = &mut self.members[host];
+        m.role = Some(Role::Replica);
+        m.denied_at = now;
+        let pointer = &mut self.groups[m.group].pointer;
+        if *pointer == Some(host) {
+            *pointer = None;
+        }
+    }
+
+    fn suspect(&mut self, now: f64, host: usize, lost: bool) {
+        let m = &mut self.members[host];
+        if m.suspicion.is_none() {
+            let trial_at = now + TRIAL;
+            m.suspicion = Some(Suspicion { since: now, trial_at, wait: TRIAL, lost, probe_ok: false });
+        }
+        if self.groups[self.members[host].group].pointer == Some(host) {
+            self.deny(now, host);
+        }
+    }
+
+    /// What an execution's end tells of its member and its workload.
+    fn learn(&mut self, now: f64, held: &Held, outcome: &Outcome) {
+        let row = &mut self.rows[held.stmt.workload];
+        let m = &mut self.members[outcome.host];
+        let share = outcome.took / row.terms.slo_time;
+        match outcome.ending {
+            Ending::Completed => {
+                row.typical += LEARN_SLOWLY * (outcome.took - row.typical);
+                if let Some(s) = m.suspicion.take() {
+                    // The list tells of a restart late: a host that was away may have come back cold.
+                    if s.lost || now - s.since > MAY_HAVE_RESTARTED {
+                        m.cold_since = Some(now);
+                    }
+                    m.limit = 2.0;
+                    m.load = EASY;
+                }
+                m.heard_at = now;
+                m.load += LEARN * (share - m.load);
+                if m.load < EASY && m.in_flight as f64 >= m.limit - 1.0 {
+                    m.limit += 1.0 / m.limit;
+                } else if m.load > TIGHT {
+                    m.limit = (m.limit * 0.95).max(1.0);
+                }
+            }
+            Ending::Miss => m.heard_at = now,
+            // Failing fast must not look like being idle.
+            Ending::Error | Ending::Full => {
+                m.heard_at = now;
+                m.load += LEARN * (1.0 - m.load);
+                m.limit = (m.limit * 0.8).max(1.0);
+            }
+            Ending::TimedOut | Ending::Cancelled => {
+                m.load += LEARN * (share - m.load).max(0.0);
+                m.limit = (m.limit * 0.95).max(1.0);
+            }
+            Ending::ConnectFailed | Ending::Reset => self.suspect(now, outcome.host, true),
+            Ending::NeverSent => {}
+        }
+    }
+
+    /// Guards against members that take statements and answer none: hung, cut off, paused or dead without a
+    /// reset. Silence is weighed by how many typical answer times have passed for all that is out there.
+    fn notice_silence(&mut self, now: f64, front: &mut impl Front) {
+        let mut silence = vec![0.0; self.members.len()];
+        for held in &self.held {
+            if let Some(host) = held.state.out_at() {
+                let m = &self.members[host];
+                let row = &self.rows[held.stmt.workload];
+                let typical = row.typical.max(row.terms.slo_time * m.load);
+                silence[host] += (now - held.sent.max(m.heard_at)) / typical;
+            }
+        }
+        for (host, silence) in silence.iter().enumerate() {
+            if *silence > SILENCE {
+                self.suspect(now, host, false);
+            }
+        }
+        if !self.terms.may_cancel {
+            return;
+        }
+        for index in 0..self.held.len() {
+            let held = self.held[index];
+            let State::Executing(host) = held.state else {
+                continue;
+            };
+            let row = &self.rows[held.stmt.workload];
+            // The last moment at which another member can still answer in time: until then it may yet wake up.
+            let last_moment = now >= held.start_by - row.typical;
+            let silent = self.members[host].suspicion.is_some() && self.members[host].heard_at < held.sent;
+            let may_go_on =
+                row.terms.effect == Effect::Idempotent && held.executions < self.terms.max_executions;
+            if silent && last_moment && now < held.start_by && may_go_on && self.second_tries >= 1.0 {
+                self.pass(index, State::Recalled(host));
+                front.cancel(index, held.executions - 1);
+            }
+        }
+    }
+
+    /// Probes each member of a polling group, and those whose next word decides something.
+    fn poll(&mut self, now: f64, front: &mut impl Front) {
+        if !self.terms.may_probe {
+            return;
+        }
+        for group in 0..self.groups.len() {
+            let at = &self.groups[group];
+            let ready = |host: &usize| !self.barred(*host);
+            let unheard = |host: usize| self.members[host].role.is_none() || !self.members[host].reports;
+            let polling = at.pointer.is_none() || at.members.iter().copied().filter(ready).any(unheard);
+            for place in 0..at.members.len() {
+                let host = self.groups[group].members[place];
+                let m = &self.members[host];
+                let ages = self.bound.is_some_and(|bound| now - m.lsn > bound - 2.0 * POLL_SOON);
+                let replica = self.groups[group].pointer != Some(host);
+                let soon = self.groups[group].pointer.is_none() || m.suspicion.is_some() || ages && replica;
+                let period = if soon { POLL_SOON } else { POLL };
+                if (polling || soon) && !m.probe_out && now - m.probed_at >= period && !self.barred(host) {
+                    let m = &mut self.members[host];
+                    (m.probe_out, m.probed_at) = (true, now);
+                    front.probe(host);
+                }
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/core/src/lib.rs
@@ -0,0 +1,6 @@
+//! The decisions of ottersill, without I/O: [`Router`] decides, a [`Front`](interface::Front) carries out.
+
+mod decide;
+pub mod interface;
+
+pub use decide::Router;
