Keep long any-reads together on the replica furthest behind

Told from slow apply: positions stood still exactly, on all hosts that held a report, with idle hosts moving. Also holds against any slow reader that stops replay. Could harm where one replica is too small for all long reads: the next one behind then takes the rest.

--- a/crates/core/src/decide.rs
+++ b/crates/core/src/decide.rs
@@ -33,6 +33,8 @@
 const MAY_HAVE_RESTARTED: f64 = 1.0;
 /// Further executions of what may have run, as a part of first ones.
 const SECOND_TRIES: f64 = 0.1;
+/// A read is long if it takes this many times what the shortest workload takes.
+const LONG: f64 = 4.0;
 /// Weight of the newest answer in what is learnt of a member, and of a workload.
 const LEARN: f64 = 0.1;
 const LEARN_SLOWLY: f64 = 0.02;
@@ -488,6 +490,14 @@
         if let Some(host) = trial.filter(|host| self.room(now, *host, held)) {
             return Some(host);
         }
+        if self.rows[held.stmt.workload].terms.needs == Needs::Any && self.is_long(held) {
+            // Guards against long reads that stop the log: spread evenly, a few of them hold every replica back.
+            let mut behind = fresh.clone();
+            behind.sort_by(|a, b| self.members[*a].lsn.total_cmp(&self.members[*b].lsn));
+            if let Some(host) = behind.into_iter().find(|host| self.room(now, *host, held)) {
+                return Some(host);
+            }
+        }
         if let Some(host) = self.fewest(now, &fresh, held) {
             return Some(host);
         }
@@ -521,6 +531,11 @@
         best.map(|(_, host)| host)
     }
 
+    fn is_long(&self, held: &Held) -> bool {
+        let shortest = self.rows.iter().map(|row| row.typical).fold(f64::INFINITY, f64::min);
+        self.rows[held.stmt.workload].typical > LONG * shortest
+    }
+
     fn chance(&mut self) -> u64 {
         self.draws += 1;
         let mut hasher = DefaultHasher::new();
