--- a/crates/core/src/decide.rs
+++ b/crates/core/src/decide.rs
@@ -20,8 +20,8 @@
 /// Answers that use this part of the SLO time on average leave room for the long ones; above the second, too few.
 const EASY: f64 = 0.35;
 const TIGHT: f64 = 0.5;
-/// Executions in flight on a member nothing is known of yet.
-const FIRST_LIMIT: f64 = 6.0;
+/// Executions in flight on a member nothing is known of yet, from all routers.
+const FIRST_LIMIT: f64 = 20.0;
 /// Part of the primary's limit that reads may fill; the rest is kept for writes.
 const READS_ON_PRIMARY: f64 = 0.5;
 /// Silence, in typical answer times summed over what is out, that chance does not explain (e^-7 is 1 in 1000).
@@ -315,6 +315,7 @@
 
     pub fn hosts(&mut self, now: f64, list: &[Listed], front: &mut impl Front) {
         self.asked_list = true;
+        let first_limit = (FIRST_LIMIT / self.terms.routers as f64).max(2.0);
         for listed in list {
             if listed.host == self.members.len() {
                 self.members.push(Member {
@@ -334,7 +335,7 @@
                     probed_at: f64::MIN,
                     heard_at: f64::MIN,
                     in_flight: 0,
-                    limit: FIRST_LIMIT,
+                    limit: first_limit,
                     load: EASY,
                     suspicion: None,
                     rate: 0.0,
@@ -356,7 +357,7 @@
             if listed.started_at.is_some() && listed.started_at != m.started_at {
                 m.started_at = listed.started_at;
                 m.cold_since = listed.started_at;
-                m.limit = FIRST_LIMIT;
+                m.limit = first_limit;
             }
             if self.barred(listed.host) {
                 self.deny(now, listed.host);
