--- a/crates/core/src/decide.rs
+++ b/crates/core/src/decide.rs
@@ -29,6 +29,8 @@
 /// First and longest time between trials of a suspect.
 const TRIAL: f64 = 0.5;
 const TRIAL_MAX: f64 = 4.0;
+/// Margin for the chance in what a cold host is sent.
+const COLD: f64 = 0.8;
 /// A member silent for longer may have been restarted unseen.
 const MAY_HAVE_RESTARTED: f64 = 1.0;
 /// Further executions of what may have run, as a part of first ones.
@@ -66,8 +68,6 @@
     state: State,
     stmt: Statement,
     arrived: f64,
-    /// When the client gives up.
-    ends: f64,
     /// From here on an execution would earn nothing.
     start_by: f64,
     /// The position a member needs, for session reads.
@@ -94,12 +94,9 @@
 
 #[derive(Clone, Copy, Debug)]
 struct Member {
-    group: usize,
-    site: Option<usize>,
-    size: f64,
-    standing: Standing,
+    /// The last line of the host list on it.
+    listed: Listed,
     drained: bool,
-    started_at: Option<f64>,
     cold_since: Option<f64>,
     role: Option<Role>,
     /// Claims of being primary that are not newer than this are disregarded.
@@ -122,6 +119,30 @@
     rate_at: f64,
 }
 
+impl Member {
+    fn new(listed: Listed, limit: f64) -> Member {
+        Member {
+            listed,
+            drained: false,
+            cold_since: listed.started_at,
+            role: None,
+            denied_at: 0.0,
+            lsn: 0.0,
+            reports: false,
+            probe_out: false,
+            probe_failures: 0,
+            probed_at: f64::MIN,
+            heard_at: f64::MIN,
+            in_flight: 0,
+            limit,
+            load: EASY,
+            suspicion: None,
+            rate: 0.0,
+            rate_at: 0.0,
+        }
+    }
+}
+
 #[derive(Clone, Debug, Default)]
 struct Group {
     members: Vec<usize>,
@@ -216,24 +237,23 @@
         while self.groups.len() <= stmt.group {
             self.groups.push(Group::default());
         }
-        while self.held.len() <= index {
-            self.held.push(Held {
-                state: State::Vacant,
-                stmt,
-                arrived: now,
-                ends,
-                start_by,
-                mark,
-                rank,
-                executions: 0,
-                sent: now,
-                ran: None,
-                missed: None,
-            });
-        }
-        let fresh =
-            Held { state: State::Vacant, stmt, arrived: now, ends, start_by, mark, rank, ..self.held[index] };
-        self.held[index] = Held { executions: 0, sent: now, ran: None, missed: None, ..fresh };
+        let state = State::Vacant;
+        let held = Held {
+            state,
+            stmt,
+            arrived: now,
+            start_by,
+            mark,
+            rank,
+            executions: 0,
+            sent: now,
+            ran: None,
+            missed: None,
+        };
+        if self.held.len() <= index {
+            self.held.resize(index + 1, held);
+        }
+        self.held[index] = held;
         self.second_tries = (self.second_tries + SECOND_TRIES).min(20.0);
         self.pass(index, State::Waiting);
         self.place(now, index, front);
@@ -310,7 +330,7 @@
             m.reports |= report.role.is_some() && self.terms.reports == Reports::WithAnswers;
             self.hear(now, host, report, false);
         }
-        self.place_waiting(now, self.members[host].group, front);
+        self.place_waiting(now, self.members[host].listed.group, front);
     }
 
     pub fn hosts(&mut self, now: f64, list: &[Listed], front: &mut impl Front) {
@@ -318,47 +338,19 @@
         let first_limit = (FIRST_LIMIT / self.terms.routers as f64).max(2.0);
         for listed in list {
             if listed.host == self.members.len() {
-                self.members.push(Member {
-                    group: listed.group,
-                    site: listed.site,
-                    size: listed.size,
-                    standing: listed.standing,
-                    drained: false,
-                    started_at: listed.started_at,
-                    cold_since: listed.started_at,
-                    role: None,
-                    denied_at: 0.0,
-                    lsn: 0.0,
-                    reports: false,
-                    probe_out: false,
-                    probe_failures: 0,
-                    probed_at: f64::MIN,
-                    heard_at: f64::MIN,
-                    in_flight: 0,
-                    limit: first_limit,
-                    load: EASY,
-                    suspicion: None,
-                    rate: 0.0,
-                    rate_at: now,
-                });
+                self.members.push(Member::new(*listed, first_limit));
                 while self.groups.len() <= listed.group {
                     self.groups.push(Group::default());
                 }
                 self.groups[listed.group].members.push(listed.host);
             }
             let m = &mut self.members[listed.host];
-            m.size = listed.size.max(0.01);
-            m.standing = listed.standing;
-            m.drained = match listed.standing {
-                Standing::Ready => false,
-                Standing::Draining => true,
-                Standing::Gone => m.drained,
-            };
-            if listed.started_at.is_some() && listed.started_at != m.started_at {
-                m.started_at = listed.started_at;
-                m.cold_since = listed.started_at;
-                m.limit = first_limit;
+            m.drained =
+                listed.standing == Standing::Draining || m.drained && listed.standing == Standing::Gone;
+            if listed.started_at.is_some() && listed.started_at != m.listed.started_at {
+                (m.cold_since, m.limit) = (listed.started_at, first_limit);
             }
+            m.listed = *listed;
             if self.barred(listed.host) {
                 self.deny(now, listed.host);
             }
@@ -513,7 +505,7 @@
         let waited = !fresh.is_empty() || self.terms.members_check_reads || now - held.arrived >= READ_WAIT;
         let spare = |host: &usize| {
             let m = &self.members[*host];
-            (m.in_flight as f64) < m.limit * READS_ON_PRIMARY
+            (m.in_flight as f64) < m.limit * READS_ON_PRIMARY && !self.is_cold(now, m)
         };
         to_primary(self).filter(|host| waited && spare(host))
     }
@@ -523,7 +515,7 @@
         for host in among.iter().copied() {
             if self.room(now, host, held) {
                 let m = self.members[host];
-                let key = (m.in_flight, m.site != self.terms.site, self.chance());
+                let key = (m.in_flight, m.listed.site != self.terms.site, self.chance());
                 if best.is_none_or(|(least, _)| key < least) {
                     best = Some((key, host));
                 }
@@ -556,7 +548,7 @@
 
     fn barred(&self, host: usize) -> bool {
         let m = &self.members[host];
-        match m.standing {
+        match m.listed.standing {
             Standing::Ready => false,
             Standing::Draining => true,
             Standing::Gone => m.drained || !self.terms.only_draining_bars,
@@ -572,7 +564,7 @@
         let m = &self.members[host];
         let row = &self.rows[held.stmt.workload];
         let data = self.terms.members_check_reads
-            || self.groups[m.group].pointer == Some(host)
+            || self.groups[m.listed.group].pointer == Some(host)
             || m.lsn >= self.needed(now, held);
         if self.barred(host)
             || !data
@@ -595,14 +587,15 @@
             (Effect::Idempotent, _) | (_, None) => true,
             (Effect::NonIdempotent, Some(_)) => false,
             (Effect::Deduplicated { within, window }, Some((at, ran))) => {
-                let same_site = self.members[ran].site == self.members[host].site;
+                let same_site = self.members[ran].listed.site == self.members[host].listed.site;
                 now < at + window && (within != Within::Site || same_site)
             }
         }
     }
 
-    /// Guards against pushing over a cold host. Each router sends it the part of what it sends to warm members
-    /// that the host's part of its capacity allows, so that all routers together stay under one warm load.
+    /// Guards against pushing over a cold host. Each router sends it no more than a part of what it sends to a
+    /// warm member: the part of its capacity, times the multiple at which it falls, halved because a rate that
+    /// decays over the span allows twice itself within one. So all routers together stay under the multiple.
     fn cold_allows(&self, now: f64, host: usize, work: f64) -> bool {
         let m = &self.members[host];
         let Some(since) = m.cold_since.filter(|since| now < since + self.terms.warm_after) else {
@@ -614,14 +607,20 @@
             other.cold_since.is_none_or(|since| now >= since + self.terms.warm_after)
                 && other.suspicion.is_none()
         };
-        let near: Vec<&Member> = self.members.iter().filter(|o| o.group == m.group).filter(warm).collect();
+        let near: Vec<&Member> =
+            self.members.iter().filter(|o| o.listed.group == m.listed.group).filter(warm).collect();
         let warm: Vec<&Member> =
             if near.is_empty() { self.members.iter().filter(warm).collect() } else { near };
-        let sent: f64 = warm.iter().map(|o| self.rate(now, o) / o.size).sum();
-        let allowed = part * m.size * sent / warm.len().max(1) as f64;
+        let sent: f64 = warm.iter().map(|o| self.rate(now, o) / o.listed.size).sum();
+        let allowed =
+            COLD * self.terms.fall_multiple / 2.0 * part * m.listed.size * sent / warm.len().max(1) as f64;
         self.rate(now, m) + work / self.terms.fall_span <= allowed
     }
 
+    fn is_cold(&self, now: f64, m: &Member) -> bool {
+        m.cold_since.is_some_and(|since| now < since + self.terms.warm_after)
+    }
+
     fn rate(&self, now: f64, m: &Member) -> f64 {
         m.rate * (-(now - m.rate_at) / self.terms.fall_span).exp()
     }
@@ -656,7 +655,7 @@
         m.lsn = m.lsn.max(lsn.unwrap_or(0.0));
         let Some(role) = said.role else { return };
         let at = if answer { now } else { lsn.unwrap_or(0.0) };
-        let group = &mut self.groups[m.group];
+        let group = &mut self.groups[m.listed.group];
         match role {
             Role::Primary if at > m.denied_at => {
                 m.role = Some(role);
@@ -677,7 +676,7 @@
         let m = &mut self.members[host];
         m.role = Some(Role::Replica);
         m.denied_at = now;
-        let pointer = &mut self.groups[m.group].pointer;
+        let pointer = &mut self.groups[m.listed.group].pointer;
         if *pointer == Some(host) {
             *pointer = None;
         }
@@ -689,7 +688,7 @@
             let trial_at = now + TRIAL;
             m.suspicion = Some(Suspicion { since: now, trial_at, wait: TRIAL, lost, probe_ok: false });
         }
-        if self.groups[self.members[host].group].pointer == Some(host) {
+        if self.groups[self.members[host].listed.group].pointer == Some(host) {
             self.deny(now, host);
         }
     }
--- a/crates/core/src/interface.rs
+++ b/crates/core/src/interface.rs
@@ -81,7 +81,6 @@
     pub may_cancel: bool,
     pub max_executions: u32,
     pub max_retry_after: f64,
-    pub drain_grace: f64,
     /// Only a host seen draining is barred; one that is merely gone from the list is not.
     pub only_draining_bars: bool,
     /// A started host has at least this part of its capacity, and all of it after `warm_after`.
--- a/crates/drill/src/terms.rs
+++ b/crates/drill/src/terms.rs
@@ -58,7 +58,6 @@
 
 #[derive(Deserialize)]
 struct Rules {
-    drain_grace_ms: f64,
     cold_from: f64,
     ramp_time_ms: f64,
     fall_multiple: f64,
@@ -167,7 +166,6 @@
             may_cancel: limits.cancelling,
             max_executions: limits.send_cap,
             max_retry_after: if limits.retry_after { limits.max_retry_after_ms / 1000.0 } else { 0.0 },
-            drain_grace: rules.drain_grace_ms / 1000.0,
             only_draining_bars: rules.soft_removal,
             cold_part: rules.cold_from,
             warm_after: rules.ramp_time_ms / 1000.0,
