--- a/crates/core/src/decide.rs
+++ b/crates/core/src/decide.rs
@@ -92,7 +92,7 @@
     probe_ok: bool,
 }
 
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Copy, Debug, Default)]
 struct Member {
     /// The last line of the host list on it.
     listed: Listed,
@@ -107,7 +107,8 @@
     probe_out: bool,
     probe_failures: u32,
     probed_at: f64,
-    heard_at: f64,
+    /// When an execution last came back from it; probes are answered beside the queue and prove less.
+    answered_at: f64,
     in_flight: usize,
     /// How many executions this router lets it hold.
     limit: f64,
@@ -119,30 +120,6 @@
     rate_at: f64,
 }
 
-impl Member {
-    fn new(listed: Listed, limit: f64) -> Member {
-        Member {
-            listed,
-            drained: false,
-            cold_since: listed.started_at,
-            role: None,
-            denied_at: 0.0,
-            lsn: 0.0,
-            reports: false,
-            probe_out: false,
-            probe_failures: 0,
-            probed_at: f64::MIN,
-            heard_at: f64::MIN,
-            in_flight: 0,
-            limit,
-            load: EASY,
-            suspicion: None,
-            rate: 0.0,
-            rate_at: 0.0,
-        }
-    }
-}
-
 #[derive(Clone, Debug, Default)]
 struct Group {
     members: Vec<usize>,
@@ -234,22 +211,9 @@
             (true, Some(session), _) => self.marks.get(&session).map_or(0.0, |mark| mark.0),
             (_, _, since) => since.map_or(0.0, |since| now - since),
         };
-        while self.groups.len() <= stmt.group {
-            self.groups.push(Group::default());
-        }
-        let state = State::Vacant;
-        let held = Held {
-            state,
-            stmt,
-            arrived: now,
-            start_by,
-            mark,
-            rank,
-            executions: 0,
-            sent: now,
-            ran: None,
-            missed: None,
-        };
+        self.group(stmt.group);
+        let (state, arrived, sent, executions, ran, missed) = (State::Vacant, now, now, 0, None, None);
+        let held = Held { state, stmt, arrived, start_by, mark, rank, executions, sent, ran, missed };
         if self.held.len() <= index {
             self.held.resize(index + 1, held);
         }
@@ -263,13 +227,14 @@
         let Outcome { stmt: index, host, ending, closed, .. } = *outcome;
         let held = self.held[index];
         let was_abandoned = matches!(held.state, State::Abandoned(_));
+        let needs = self.rows[held.stmt.workload].terms.needs;
         self.learn(now, &held, outcome);
         if !ending.never_ran() && ending != Ending::Completed {
             self.held[index].ran.get_or_insert((held.sent, host));
         }
         if ending == Ending::Miss {
             self.held[index].missed = Some(host);
-            if !matches!(self.rows[held.stmt.workload].terms.needs, Needs::Primary) {
+            if needs != Needs::Primary {
                 // The position it was known by was not true.
                 let needed = self.needed(held.sent, &held);
                 self.members[host].lsn = self.members[host].lsn.min(needed);
@@ -281,16 +246,12 @@
             self.hear(now, host, report, false);
         }
         let at_primary = self.groups[held.stmt.group].pointer == Some(host);
-        if at_primary && matches!(ending, Ending::ConnectFailed | Ending::Reset | Ending::TimedOut) {
-            self.deny(now, host);
-        }
-        if ending == Ending::Miss && matches!(self.rows[held.stmt.workload].terms.needs, Needs::Primary) {
+        let broken = matches!(ending, Ending::ConnectFailed | Ending::Reset | Ending::TimedOut);
+        if at_primary && broken || ending == Ending::Miss && needs == Needs::Primary {
             self.deny(now, host);
         }
         if self.terms.remembers_writes && ending == Ending::Completed {
-            if let (Some(session), Some(lsn), Some(Role::Primary)) =
-                (held.stmt.session, outcome.note.lsn, outcome.note.role)
-            {
+            if let (Some(session), Some(lsn), Needs::Primary) = (held.stmt.session, outcome.note.lsn, needs) {
                 self.marks.insert(session, (lsn, held.stmt.group));
             }
         }
@@ -298,38 +259,35 @@
             self.pass(index, State::Vacant);
         } else {
             self.pass(index, State::Waiting);
-            self.again(now, index, front);
+            let ran = self.held[index].ran.is_some();
+            let once = self.rows[held.stmt.workload].terms.effect == Effect::NonIdempotent;
+            // Second tries must not feed the overload that made them needed.
+            let no_more = ran && (once || self.second_tries < 1.0);
+            if no_more || held.executions >= self.terms.max_executions {
+                self.give_up(now, index, front);
+            }
         }
         self.place_waiting(now, held.stmt.group, front);
     }
 
-    pub fn probed(
-        &mut self,
-        now: f64,
-        host: usize,
-        ok: bool,
-        report: Option<Report>,
-        front: &mut impl Front,
-    ) {
+    /// A probe's end: what the member reported, or none if it did not answer.
+    pub fn probed(&mut self, now: f64, host: usize, answer: Option<Report>, front: &mut impl Front) {
         let m = &mut self.members[host];
         m.probe_out = false;
-        if !ok {
+        let Some(report) = answer else {
             m.probe_failures += 1;
             // One probe may be lost, or turned away under a cap; statements that pass outrank it.
-            if m.probe_failures > 1 && m.heard_at < m.probed_at - 0.5 {
+            if m.probe_failures > 1 && m.answered_at < m.probed_at - 0.5 {
                 self.suspect(now, host, true);
             }
             return;
-        }
+        };
         m.probe_failures = 0;
-        m.heard_at = now;
         if let Some(suspicion) = &mut m.suspicion {
             suspicion.probe_ok = true;
         }
-        if let Some(report) = report {
-            m.reports |= report.role.is_some() && self.terms.reports == Reports::WithAnswers;
-            self.hear(now, host, report, false);
-        }
+        m.reports |= report.role.is_some() && self.terms.reports == Reports::WithAnswers;
+        self.hear(now, host, report, false);
         self.place_waiting(now, self.members[host].listed.group, front);
     }
 
@@ -338,18 +296,17 @@
         let first_limit = (FIRST_LIMIT / self.terms.routers as f64).max(2.0);
         for listed in list {
             if listed.host == self.members.len() {
-                self.members.push(Member::new(*listed, first_limit));
-                while self.groups.len() <= listed.group {
-                    self.groups.push(Group::default());
-                }
-                self.groups[listed.group].members.push(listed.host);
+                let blank = Member { probed_at: f64::MIN, answered_at: f64::MIN, ..Member::default() };
+                self.members.push(Member { load: EASY, limit: first_limit, ..blank });
+                self.group(listed.group).members.push(listed.host);
             }
             let m = &mut self.members[listed.host];
-            m.drained =
-                listed.standing == Standing::Draining || m.drained && listed.standing == Standing::Gone;
             if listed.started_at.is_some() && listed.started_at != m.listed.started_at {
                 (m.cold_since, m.limit) = (listed.started_at, first_limit);
             }
+            if listed.standing != Standing::Gone {
+                m.drained = listed.standing == Standing::Draining;
+            }
             m.listed = *listed;
             if self.barred(listed.host) {
                 self.deny(now, listed.host);
@@ -361,6 +318,13 @@
         }
     }
 
+    fn group(&mut self, group: usize) -> &mut Group {
+        if self.groups.len() <= group {
+            self.groups.resize(group + 1, Group::default());
+        }
+        &mut self.groups[group]
+    }
+
     pub fn list_failed(&mut self, _now: f64, _front: &mut impl Front) {
         self.asked_list = false;
     }
@@ -380,11 +344,6 @@
         self.poll(now, front);
         for group in 0..self.groups.len() {
             self.place_waiting(now, group, front);
-            for index in self.groups[group].waiting.clone() {
-                if now >= self.held[index].start_by {
-                    self.give_up(now, index, front);
-                }
-            }
         }
         let (members, groups) = (&self.members, &self.groups);
         self.marks.retain(|_, (lsn, group)| groups[*group].members.iter().any(|m| members[*m].lsn < *lsn));
@@ -418,20 +377,6 @@
         self.held[index].state = to;
     }
 
-    /// After an execution that did not complete: what is left to do for its statement.
-    fn again(&mut self, now: f64, index: usize, front: &mut impl Front) {
-        let held = self.held[index];
-        let effect = self.rows[held.stmt.workload].terms.effect;
-        let spent = held.executions >= self.terms.max_executions || now >= held.start_by;
-        let may_have_run = held.ran.is_some();
-        if spent || may_have_run && effect == Effect::NonIdempotent {
-            self.give_up(now, index, front);
-        } else if may_have_run && self.second_tries < 1.0 {
-            // Second tries must not feed the overload that made them needed.
-            self.give_up(now, index, front);
-        }
-    }
-
     /// The final answer, at once, to what nothing better can come of.
     fn give_up(&mut self, now: f64, index: usize, front: &mut impl Front) {
         let held = self.held[index];
@@ -505,7 +450,7 @@
         let waited = !fresh.is_empty() || self.terms.members_check_reads || now - held.arrived >= READ_WAIT;
         let spare = |host: &usize| {
             let m = &self.members[*host];
-            (m.in_flight as f64) < m.limit * READS_ON_PRIMARY && !self.is_cold(now, m)
+            (m.in_flight as f64) < m.limit * READS_ON_PRIMARY && self.part(now, m) >= 1.0
         };
         to_primary(self).filter(|host| waited && spare(host))
     }
@@ -566,11 +511,8 @@
         let data = self.terms.members_check_reads
             || self.groups[m.listed.group].pointer == Some(host)
             || m.lsn >= self.needed(now, held);
-        if self.barred(host)
-            || !data
-            || !self.effect_allows(now, host, held)
-            || !self.cold_allows(now, host, row.typical)
-        {
+        let effect = self.effect_allows(now, host, held);
+        if self.barred(host) || !data || !effect || !self.cold_allows(now, host, row.typical) {
             return false;
         }
         match m.suspicion {
@@ -598,27 +540,27 @@
     /// decays over the span allows twice itself within one. So all routers together stay under the multiple.
     fn cold_allows(&self, now: f64, host: usize, work: f64) -> bool {
         let m = &self.members[host];
-        let Some(since) = m.cold_since.filter(|since| now < since + self.terms.warm_after) else {
+        let part = self.part(now, m);
+        if part >= 1.0 {
             return true;
-        };
-        let grown = ((now - since) / self.terms.warm_after).clamp(0.0, 1.0);
-        let part = self.terms.cold_part + (1.0 - self.terms.cold_part) * grown;
-        let warm = |other: &&Member| {
-            other.cold_since.is_none_or(|since| now >= since + self.terms.warm_after)
-                && other.suspicion.is_none()
-        };
-        let near: Vec<&Member> =
-            self.members.iter().filter(|o| o.listed.group == m.listed.group).filter(warm).collect();
-        let warm: Vec<&Member> =
-            if near.is_empty() { self.members.iter().filter(warm).collect() } else { near };
-        let sent: f64 = warm.iter().map(|o| self.rate(now, o) / o.listed.size).sum();
+        }
+        let warm = |other: &&Member| self.part(now, other) >= 1.0 && other.suspicion.is_none();
+        let near = |other: &&Member| warm(other) && other.listed.group == m.listed.group;
+        let anywhere = !self.members.iter().any(|other| near(&other));
+        let (mut count, mut sent) = (0.0, 0.0);
+        for other in self.members.iter().filter(|other| near(other) || anywhere && warm(other)) {
+            count += 1.0;
+            sent += self.rate(now, other) / other.listed.size;
+        }
         let allowed =
-            COLD * self.terms.fall_multiple / 2.0 * part * m.listed.size * sent / warm.len().max(1) as f64;
+            COLD * self.terms.fall_multiple / 2.0 * part * m.listed.size * sent / f64::max(count, 1.0);
         self.rate(now, m) + work / self.terms.fall_span <= allowed
     }
 
-    fn is_cold(&self, now: f64, m: &Member) -> bool {
-        m.cold_since.is_some_and(|since| now < since + self.terms.warm_after)
+    /// The part of its capacity that a member has at least.
+    fn part(&self, now: f64, m: &Member) -> f64 {
+        let grown = m.cold_since.map_or(1.0, |since| ((now - since) / self.terms.warm_after).clamp(0.0, 1.0));
+        self.terms.cold_part + (1.0 - self.terms.cold_part) * grown
     }
 
     fn rate(&self, now: f64, m: &Member) -> f64 {
@@ -706,10 +648,10 @@
                     if s.lost || now - s.since > MAY_HAVE_RESTARTED {
                         m.cold_since = Some(now);
                     }
-                    m.limit = 2.0;
+                    m.limit = (m.limit / 2.0).max(2.0);
                     m.load = EASY;
                 }
-                m.heard_at = now;
+                m.answered_at = now;
                 m.load += LEARN * (share - m.load);
                 if m.load < EASY && m.in_flight as f64 >= m.limit - 1.0 {
                     m.limit += 1.0 / m.limit;
@@ -717,10 +659,10 @@
                     m.limit = (m.limit * 0.95).max(1.0);
                 }
             }
-            Ending::Miss => m.heard_at = now,
+            Ending::Miss => m.answered_at = now,
             // Failing fast must not look like being idle.
             Ending::Error | Ending::Full => {
-                m.heard_at = now;
+                m.answered_at = now;
                 m.load += LEARN * (1.0 - m.load);
                 m.limit = (m.limit * 0.8).max(1.0);
             }
@@ -742,7 +684,7 @@
                 let m = &self.members[host];
                 let row = &self.rows[held.stmt.workload];
                 let typical = row.typical.max(row.terms.slo_time * m.load);
-                silence[host] += (now - held.sent.max(m.heard_at)) / typical;
+                silence[host] += (now - held.sent.max(m.answered_at)) / typical;
             }
         }
         for (host, silence) in silence.iter().enumerate() {
@@ -750,23 +692,19 @@
                 self.suspect(now, host, false);
             }
         }
-        if !self.terms.may_cancel {
-            return;
-        }
         for index in 0..self.held.len() {
             let held = self.held[index];
-            let State::Executing(host) = held.state else {
-                continue;
-            };
-            let row = &self.rows[held.stmt.workload];
-            // The last moment at which another member can still answer in time: until then it may yet wake up.
-            let last_moment = now >= held.start_by - row.typical;
-            let silent = self.members[host].suspicion.is_some() && self.members[host].heard_at < held.sent;
-            let may_go_on =
-                row.terms.effect == Effect::Idempotent && held.executions < self.terms.max_executions;
-            if silent && last_moment && now < held.start_by && may_go_on && self.second_tries >= 1.0 {
-                self.pass(index, State::Recalled(host));
-                front.cancel(index, held.executions - 1);
+            if let State::Executing(host) = held.state {
+                let (row, m) = (&self.rows[held.stmt.workload], &self.members[host]);
+                let silent = m.suspicion.is_some() && m.answered_at < held.sent;
+                // The last moment at which another member can still answer in time: it may wake up until then.
+                let last_moment = now >= held.start_by - row.typical && now < held.start_by;
+                let again =
+                    row.terms.effect == Effect::Idempotent && held.executions < self.terms.max_executions;
+                if self.terms.may_cancel && silent && last_moment && again && self.second_tries >= 1.0 {
+                    self.pass(index, State::Recalled(host));
+                    front.cancel(index, held.executions - 1);
+                }
             }
         }
     }
--- a/crates/core/src/interface.rs
+++ b/crates/core/src/interface.rs
@@ -154,15 +154,16 @@
     pub report: Option<Report>,
 }
 
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum Standing {
+    #[default]
     Ready,
     Draining,
     Gone,
 }
 
 /// A line of the host list.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Copy, Debug, Default)]
 pub struct Listed {
     pub host: usize,
     pub group: usize,
--- a/crates/drill/src/desk.rs
+++ b/crates/drill/src/desk.rs
@@ -152,8 +152,9 @@
 
     pub fn probed(&mut self, now: f64, result: HealthResult) -> Result<(), String> {
         let host = self.desk.host(&result.host)?;
-        let report = result.pressure.map(|p| self.desk.report(&p));
-        self.router.probed(now, host, &*result.result == "ok", report, &mut self.desk);
+        let report = result.pressure.map_or(Report::default(), |p| self.desk.report(&p));
+        let answer = (&*result.result == "ok").then_some(report);
+        self.router.probed(now, host, answer, &mut self.desk);
         Ok(())
     }
 
--- a/crates/drill/src/wire.rs
+++ b/crates/drill/src/wire.rs
@@ -63,7 +63,7 @@
 #[serde(untagged)]
 pub enum Tenant<'a> {
     Name(#[serde(borrow)] Cow<'a, str>),
-    Nobody(u64),
+    Nobody(#[allow(dead_code, reason = "says only that there is no name")] u64),
 }
 
 #[derive(Deserialize)]
