Hold writes back while replicas lag and reads are lost (flow control)

Kept: importance of reads given up, times the part of replicas behind, against importance held back.

--- a/crates/core/src/decide.rs
+++ b/crates/core/src/decide.rs
@@ -31,6 +31,10 @@
 const TRIAL_MAX: f64 = 4.0;
 /// Margin for the chance in what a cold host is sent.
 const COLD: f64 = 0.8;
+/// Change a beat of the part of writes let through.
+const FLOW: f64 = 0.02;
+/// Seconds over which the worth of reads and writes is weighed.
+const WORTH: f64 = 5.0;
 /// A member silent for longer may have been restarted unseen.
 const MAY_HAVE_RESTARTED: f64 = 1.0;
 /// Further executions of what may have run, as a part of first ones.
@@ -101,8 +105,9 @@
     role: Option<Role>,
     /// Claims of being primary that are not newer than this are disregarded.
     denied_at: f64,
-    /// Last known position.
+    /// Last known position, and how far it lay back when it was heard of.
     lsn: f64,
+    lag: f64,
     reports: bool,
     probe_out: bool,
     probe_failures: u32,
@@ -126,6 +131,12 @@
     pointer: Option<usize>,
     /// The position with which the pointer's member claimed the role.
     claim: f64,
+    /// Part of the writes held back, and what is saved up of it.
+    held_back: f64,
+    credit: f64,
+    /// Importance of the bounded reads given up, and of the writes that came, of late.
+    reads_lost: f64,
+    writes: f64,
     /// Highest rank first, oldest first within a rank; emptied by sends, rejections and hangups.
     waiting: Vec<usize>,
 }
@@ -220,6 +231,16 @@
         self.held[index] = held;
         self.second_tries = (self.second_tries + SECOND_TRIES).min(20.0);
         self.pass(index, State::Waiting);
+        let row = &self.rows[stmt.workload].terms;
+        let group = &mut self.groups[stmt.group];
+        if row.needs == Needs::Primary {
+            group.writes += row.importance;
+            group.credit = (group.credit + group.held_back).min(2.0);
+            if group.credit >= 1.0 {
+                group.credit -= 1.0;
+                return self.give_up(now, index, front);
+            }
+        }
         self.place(now, index, front);
     }
 
@@ -342,6 +363,7 @@
         }
         self.notice_silence(now, front);
         self.poll(now, front);
+        self.set_flow(now);
         for group in 0..self.groups.len() {
             self.place_waiting(now, group, front);
         }
@@ -350,6 +372,24 @@
         front.wake(BEAT);
     }
 
+    /// Guards against replicas that all fall behind for good: writes are let through as replicas can apply them,
+    /// as long as the reads that the stale ones could answer are worth more than the writes held back.
+    fn set_flow(&mut self, now: f64) {
+        let Some(bound) = self.bound else { return };
+        for group in 0..self.groups.len() {
+            let at = &self.groups[group];
+            let replicas = at.members.iter().filter(|h| Some(**h) != at.pointer && self.usable(now, **h));
+            let lags: Vec<f64> = replicas.map(|h| self.members[*h].lag).collect();
+            let behind = lags.iter().filter(|lag| **lag > bound / 2.0).count();
+            let part = behind as f64 / lags.len().max(1) as f64;
+            let hold = at.reads_lost * part > at.writes * at.held_back && behind > 0;
+            let at = &mut self.groups[group];
+            at.held_back = (at.held_back + if hold { FLOW } else { -FLOW / 2.0 }).clamp(0.0, 0.95);
+            at.reads_lost -= at.reads_lost * BEAT / WORTH;
+            at.writes -= at.writes * BEAT / WORTH;
+        }
+    }
+
     /// Every change of a statement's state.
     fn pass(&mut self, index: usize, to: State) {
         let held = self.held[index];
@@ -386,6 +426,9 @@
             (Effect::NonIdempotent, Some(_)) => false,
         };
         self.pass(index, State::Vacant);
+        if let Needs::Bounded(_) = self.rows[held.stmt.workload].terms.needs {
+            self.groups[held.stmt.group].reads_lost += self.rows[held.stmt.workload].terms.importance;
+        }
         if harmless {
             // A client that comes back after its SLO time only adds load; until then the sooner the better.
             let late = now >= held.arrived + self.rows[held.stmt.workload].terms.slo_time;
@@ -594,7 +637,10 @@
     fn hear(&mut self, now: f64, host: usize, said: Report, answer: bool) {
         let m = &mut self.members[host];
         let lsn = said.lsn.filter(|lsn| *lsn <= now);
-        m.lsn = m.lsn.max(lsn.unwrap_or(0.0));
+        if let Some(lsn) = lsn {
+            m.lsn = m.lsn.max(lsn);
+            m.lag = now - m.lsn;
+        }
         let Some(role) = said.role else { return };
         let at = if answer { now } else { lsn.unwrap_or(0.0) };
         let group = &mut self.groups[m.listed.group];
