Tell later tries by the usual time; weigh reads lost against all writes

Cause: repeats after a rejection carry more time than first tries, so first tries were taken for late ones and given up early.

--- a/crates/core/src/decide.rs
+++ b/crates/core/src/decide.rs
@@ -31,6 +31,8 @@
 const TRIAL_MAX: f64 = 4.0;
 /// Margin for the chance in what a cold host is sent.
 const COLD: f64 = 0.8;
+/// First tries differ by less, from the ticks that they travel through.
+const USUAL: f64 = 0.02;
 /// Change a beat of the part of writes let through.
 const FLOW: f64 = 0.02;
 /// Seconds over which the worth of reads and writes is weighed.
@@ -77,6 +79,8 @@
     /// The position a member needs, for session reads.
     mark: f64,
     rank: f64,
+    /// Its importance, if this is the client's first try as far as can be told.
+    worth: f64,
     executions: u32,
     sent: f64,
     /// Time and place of the first execution that may have run.
@@ -147,8 +151,9 @@
     terms: Workload,
     /// Typical time of an answer.
     typical: f64,
-    /// The longest time a client gave a try.
-    longest: f64,
+    /// The time most clients give a first try, and by how many votes it leads.
+    usual: f64,
+    votes: i32,
 }
 
 /// One router's decisions.
@@ -172,7 +177,7 @@
 impl Router {
     pub fn start(now: f64, terms: Terms, front: &mut impl Front) -> Router {
         let rows = terms.workloads.iter();
-        let rows = rows.map(|w| Row { terms: w.clone(), typical: w.slo_time / 6.0, longest: 0.0 });
+        let rows = rows.map(|w| Row { terms: w.clone(), typical: w.slo_time / 6.0, usual: 0.0, votes: 0 });
         let bounds = terms.workloads.iter().filter_map(|w| match w.needs {
             Needs::Bounded(bound) => Some(bound),
             _ => None,
@@ -199,10 +204,16 @@
 
     pub fn statement(&mut self, now: f64, index: usize, stmt: Statement, front: &mut impl Front) {
         let row = &mut self.rows[stmt.workload];
-        row.longest = row.longest.max(stmt.time_left);
-        // A client that gives this try less than others is on a later one: the rest of its time has passed.
-        let cut = stmt.time_left < row.longest - 0.01;
-        let passed = if cut { (row.terms.statement_timeout - stmt.time_left).max(0.0) } else { 0.0 };
+        // A client gives each first try the same time, and a later one what is left of its patience.
+        let usual = (stmt.time_left - row.usual).abs() < USUAL;
+        if !stmt.repeat {
+            row.votes += if usual { 1 } else { -1 };
+            if row.votes < 0 {
+                (row.usual, row.votes) = (stmt.time_left, 1);
+            }
+        }
+        let later = (stmt.time_left - row.usual).abs() >= USUAL;
+        let passed = if later { (row.terms.statement_timeout - stmt.time_left).max(0.0) } else { 0.0 };
         let ends = now + stmt.time_left;
         let slo_at = now + row.terms.slo_time - passed;
         let useful = if row.terms.late_share > 0.0 { ends } else { ends.min(slo_at) };
@@ -222,9 +233,10 @@
             (true, Some(session), _) => self.marks.get(&session).map_or(0.0, |mark| mark.0),
             (_, _, since) => since.map_or(0.0, |since| now - since),
         };
-        self.group(stmt.group);
+        let worth = if later || stmt.repeat { 0.0 } else { row.terms.importance };
         let (state, arrived, sent, executions, ran, missed) = (State::Vacant, now, now, 0, None, None);
-        let held = Held { state, stmt, arrived, start_by, mark, rank, executions, sent, ran, missed };
+        let held = Held { state, stmt, arrived, start_by, mark, rank, worth, executions, sent, ran, missed };
+        self.group(stmt.group);
         if self.held.len() <= index {
             self.held.resize(index + 1, held);
         }
@@ -234,7 +246,7 @@
         let row = &self.rows[stmt.workload].terms;
         let group = &mut self.groups[stmt.group];
         if row.needs == Needs::Primary {
-            group.writes += row.importance;
+            group.writes += worth;
             group.credit = (group.credit + group.held_back).min(2.0);
             if group.credit >= 1.0 {
                 group.credit -= 1.0;
@@ -382,7 +394,7 @@
             let lags: Vec<f64> = replicas.map(|h| self.members[*h].lag).collect();
             let behind = lags.iter().filter(|lag| **lag > bound / 2.0).count();
             let part = behind as f64 / lags.len().max(1) as f64;
-            let hold = at.reads_lost * part > at.writes * at.held_back && behind > 0;
+            let hold = at.reads_lost * part > at.writes && behind > 0;
             let at = &mut self.groups[group];
             at.held_back = (at.held_back + if hold { FLOW } else { -FLOW / 2.0 }).clamp(0.0, 0.95);
             at.reads_lost -= at.reads_lost * BEAT / WORTH;
@@ -427,7 +439,7 @@
         };
         self.pass(index, State::Vacant);
         if let Needs::Bounded(_) = self.rows[held.stmt.workload].terms.needs {
-            self.groups[held.stmt.group].reads_lost += self.rows[held.stmt.workload].terms.importance;
+            self.groups[held.stmt.group].reads_lost += held.worth;
         }
         if harmless {
             // A client that comes back after its SLO time only adds load; until then the sooner the better.
