--- a/crates/core/src/decide.rs
+++ b/crates/core/src/decide.rs
@@ -140,6 +140,7 @@
     credit: f64,
     /// Importance of the bounded reads given up, and of the writes that came, of late.
     reads_lost: f64,
+    reads: f64,
     writes: f64,
     /// Highest rank first, oldest first within a rank; emptied by sends, rejections and hangups.
     waiting: Vec<usize>,
@@ -245,6 +246,9 @@
         self.pass(index, State::Waiting);
         let row = &self.rows[stmt.workload].terms;
         let group = &mut self.groups[stmt.group];
+        if let Needs::Bounded(_) = row.needs {
+            group.reads += worth;
+        }
         if row.needs == Needs::Primary {
             group.writes += worth;
             group.credit = (group.credit + group.held_back).min(2.0);
@@ -394,10 +398,12 @@
             let lags: Vec<f64> = replicas.map(|h| self.members[*h].lag).collect();
             let behind = lags.iter().filter(|lag| **lag > bound / 2.0).count();
             let part = behind as f64 / lags.len().max(1) as f64;
-            let hold = at.reads_lost * part > at.writes && behind > 0;
+            let hold =
+                at.reads_lost * part > at.writes * at.held_back && at.reads * part > at.writes && behind > 0;
             let at = &mut self.groups[group];
             at.held_back = (at.held_back + if hold { FLOW } else { -FLOW / 2.0 }).clamp(0.0, 0.95);
             at.reads_lost -= at.reads_lost * BEAT / WORTH;
+            at.reads -= at.reads * BEAT / WORTH;
             at.writes -= at.writes * BEAT / WORTH;
         }
     }
