--- a/crates/core/src/decide.rs
+++ b/crates/core/src/decide.rs
@@ -419,7 +419,7 @@
             let all = &self.held;
             let behind = |other: &usize| {
                 let other = &all[*other];
-                (other.rank, -other.arrived) >= (held.rank, -held.arrived)
+                (other.rank, other.arrived) >= (held.rank, held.arrived)
             };
             let place = waiting.partition_point(behind);
             waiting.insert(place, index);
