--- a/crates/core/src/decide.rs
+++ b/crates/core/src/decide.rs
@@ -218,7 +218,7 @@
         let ends = now + stmt.time_left;
         let slo_at = now + row.terms.slo_time - passed;
         let useful = if row.terms.late_share > 0.0 { ends } else { ends.min(slo_at) };
-        let start_by = useful - row.typical;
+        let start_by = useful - 1.4 * row.typical;
         let mut rank = row.terms.importance / row.typical;
         if let Some(tenant) = stmt.tenant {
             let rate = self.terms.tenant_rates[tenant] / self.terms.routers as f64;
