--- a/crates/core/src/decide.rs
+++ b/crates/core/src/decide.rs
@@ -26,30 +26,31 @@
 const READS_ON_PRIMARY: f64 = 0.5;
 /// Silence, in typical answer times summed over what is out, that chance does not explain (e^-7 is 1 in 1000).
 const SILENCE: f64 = 7.0;
-/// First and longest time between trials of a suspect.
-const TRIAL: f64 = 0.5;
-const TRIAL_MAX: f64 = 4.0;
+/// Time between trials of a suspect.
+const TRIAL: f64 = 1.0;
 /// Margin for the chance in what a cold host is sent.
 const COLD: f64 = 0.8;
-/// First tries differ by less, from the ticks that they travel through.
-const USUAL: f64 = 0.02;
-/// Change a beat of the part of writes let through.
-const FLOW: f64 = 0.02;
-/// Seconds over which the worth of reads and writes is weighed.
-const WORTH: f64 = 5.0;
 /// A member silent for longer may have been restarted unseen.
 const MAY_HAVE_RESTARTED: f64 = 1.0;
+/// First tries differ by less, from the ticks that they travel through.
+const USUAL: f64 = 0.02;
+/// Typical answer times that an execution needs to be likely in time.
+const ENOUGH: f64 = 1.4;
 /// Further executions of what may have run, as a part of first ones.
 const SECOND_TRIES: f64 = 0.1;
+/// When a client that was turned away in time may try again.
+const RETRY: f64 = 0.1;
 /// A read is long if it takes this many times what the shortest workload takes.
 const LONG: f64 = 4.0;
+/// Change a beat of the part of writes held back, and seconds over which it is weighed against reads.
+const FLOW: f64 = 0.02;
+const WORTH: f64 = 5.0;
 /// Weight of the newest answer in what is learnt of a member, and of a workload.
 const LEARN: f64 = 0.1;
 const LEARN_SLOWLY: f64 = 0.02;
 
 #[derive(Clone, Copy, Debug, PartialEq)]
 enum State {
-    /// No statement has this index.
     Vacant,
     /// In its group's queue; nothing of it is out.
     Waiting,
@@ -83,9 +84,8 @@
     worth: f64,
     executions: u32,
     sent: f64,
-    /// Time and place of the first execution that may have run.
+    /// When and where an execution was first sent that may have run.
     ran: Option<(f64, usize)>,
-    /// The last member to turn it away.
     missed: Option<usize>,
 }
 
@@ -93,24 +93,21 @@
 struct Suspicion {
     since: f64,
     trial_at: f64,
-    wait: f64,
     /// Connections fail, rather than answers fail to come.
     lost: bool,
-    /// A probe has come back since.
     probe_ok: bool,
 }
 
 #[derive(Clone, Copy, Debug, Default)]
 struct Member {
-    /// The last line of the host list on it.
     listed: Listed,
     drained: bool,
     cold_since: Option<f64>,
     role: Option<Role>,
     /// Claims of being primary that are not newer than this are disregarded.
     denied_at: f64,
-    /// Last known position, and how far it lay back when it was heard of.
     lsn: f64,
+    /// How far that position lay back when it was heard of.
     lag: f64,
     reports: bool,
     probe_out: bool,
@@ -135,14 +132,13 @@
     pointer: Option<usize>,
     /// The position with which the pointer's member claimed the role.
     claim: f64,
-    /// Part of the writes held back, and what is saved up of it.
+    /// Part of the writes held back.
     held_back: f64,
-    credit: f64,
-    /// Importance of the bounded reads given up, and of the writes that came, of late.
+    /// Importance, of late, of the bounded reads given up, of all of them, and of the writes.
     reads_lost: f64,
     reads: f64,
     writes: f64,
-    /// Highest rank first, oldest first within a rank; emptied by sends, rejections and hangups.
+    /// Highest rank first, newest first within a rank, as the oldest would come late; emptied by sends, rejections and hangups.
     waiting: Vec<usize>,
 }
 
@@ -150,14 +146,12 @@
 #[derive(Clone, Debug)]
 struct Row {
     terms: Workload,
-    /// Typical time of an answer.
     typical: f64,
     /// The time most clients give a first try, and by how many votes it leads.
     usual: f64,
     votes: i32,
 }
 
-/// One router's decisions.
 pub struct Router {
     terms: Terms,
     rows: Vec<Row>,
@@ -171,7 +165,7 @@
     marks: BTreeMap<u64, (f64, usize)>,
     second_tries: f64,
     bound: Option<f64>,
-    asked_list: bool,
+    list_is_due: bool,
     draws: u64,
 }
 
@@ -179,10 +173,6 @@
     pub fn start(now: f64, terms: Terms, front: &mut impl Front) -> Router {
         let rows = terms.workloads.iter();
         let rows = rows.map(|w| Row { terms: w.clone(), typical: w.slo_time / 6.0, usual: 0.0, votes: 0 });
-        let bounds = terms.workloads.iter().filter_map(|w| match w.needs {
-            Needs::Bounded(bound) => Some(bound),
-            _ => None,
-        });
         let router = Router {
             rows: rows.collect(),
             shares: vec![(0.0, now); terms.tenant_rates.len()],
@@ -191,14 +181,11 @@
             held: Vec::new(),
             marks: BTreeMap::new(),
             second_tries: 5.0,
-            bound: bounds.reduce(f64::min),
-            asked_list: true,
+            bound: terms.workloads.iter().filter_map(|w| w.bound()).reduce(f64::min),
+            list_is_due: terms.list_on_request,
             draws: 0,
             terms,
         };
-        if router.terms.list_on_request {
-            front.follow();
-        }
         front.wake(BEAT);
         router
     }
@@ -206,35 +193,34 @@
     pub fn statement(&mut self, now: f64, index: usize, stmt: Statement, front: &mut impl Front) {
         let row = &mut self.rows[stmt.workload];
         // A client gives each first try the same time, and a later one what is left of its patience.
-        let usual = (stmt.time_left - row.usual).abs() < USUAL;
+        let later = (stmt.time_left - row.usual).abs() >= USUAL;
         if !stmt.repeat {
-            row.votes += if usual { 1 } else { -1 };
+            row.votes += if later { -1 } else { 1 };
             if row.votes < 0 {
                 (row.usual, row.votes) = (stmt.time_left, 1);
             }
         }
         let later = (stmt.time_left - row.usual).abs() >= USUAL;
         let passed = if later { (row.terms.statement_timeout - stmt.time_left).max(0.0) } else { 0.0 };
+        let worth = if later || stmt.repeat { 0.0 } else { row.terms.importance };
         let ends = now + stmt.time_left;
         let slo_at = now + row.terms.slo_time - passed;
         let useful = if row.terms.late_share > 0.0 { ends } else { ends.min(slo_at) };
-        let start_by = useful - 1.4 * row.typical;
+        let start_by = useful - ENOUGH * row.typical;
         let mut rank = row.terms.importance / row.typical;
         if let Some(tenant) = stmt.tenant {
             let rate = self.terms.tenant_rates[tenant] / self.terms.routers as f64;
             let (left, at) = self.shares[tenant];
             let left = (left + (now - at) * rate).min(rate);
-            let within = left >= 1.0;
-            self.shares[tenant] = (if within { left - 1.0 } else { left }, now);
-            if !within {
+            if left < 1.0 {
                 rank *= self.terms.over_share;
             }
+            self.shares[tenant] = (if left < 1.0 { left } else { left - 1.0 }, now);
         }
         let mark = match (self.terms.remembers_writes, stmt.session, stmt.since_write) {
             (true, Some(session), _) => self.marks.get(&session).map_or(0.0, |mark| mark.0),
             (_, _, since) => since.map_or(0.0, |since| now - since),
         };
-        let worth = if later || stmt.repeat { 0.0 } else { row.terms.importance };
         let (state, arrived, sent, executions, ran, missed) = (State::Vacant, now, now, 0, None, None);
         let held = Held { state, stmt, arrived, start_by, mark, rank, worth, executions, sent, ran, missed };
         self.group(stmt.group);
@@ -244,18 +230,15 @@
         self.held[index] = held;
         self.second_tries = (self.second_tries + SECOND_TRIES).min(20.0);
         self.pass(index, State::Waiting);
-        let row = &self.rows[stmt.workload].terms;
-        let group = &mut self.groups[stmt.group];
-        if let Needs::Bounded(_) = row.needs {
-            group.reads += worth;
-        }
-        if row.needs == Needs::Primary {
-            group.writes += worth;
-            group.credit = (group.credit + group.held_back).min(2.0);
-            if group.credit >= 1.0 {
-                group.credit -= 1.0;
-                return self.give_up(now, index, front);
-            }
+        let (needs, group) = (self.rows[stmt.workload].terms.needs, &mut self.groups[stmt.group]);
+        match needs {
+            Needs::Bounded(_) => group.reads += worth,
+            Needs::Primary => group.writes += worth,
+            _ => {}
+        }
+        let held_back = self.groups[stmt.group].held_back;
+        if needs == Needs::Primary && (self.chance(index) as f64) < held_back * u64::MAX as f64 {
+            return self.give_up(now, index, front);
         }
         self.place(now, index, front);
     }
@@ -264,7 +247,7 @@
         let Outcome { stmt: index, host, ending, closed, .. } = *outcome;
         let held = self.held[index];
         let was_abandoned = matches!(held.state, State::Abandoned(_));
-        let needs = self.rows[held.stmt.workload].terms.needs;
+        let needs = self.terms_of(&held).needs;
         self.learn(now, &held, outcome);
         if !ending.never_ran() && ending != Ending::Completed {
             self.held[index].ran.get_or_insert((held.sent, host));
@@ -282,13 +265,13 @@
             self.members[host].reports |= report.role.is_some();
             self.hear(now, host, report, false);
         }
-        let at_primary = self.groups[held.stmt.group].pointer == Some(host);
-        let broken = matches!(ending, Ending::ConnectFailed | Ending::Reset | Ending::TimedOut);
-        if at_primary && broken || ending == Ending::Miss && needs == Needs::Primary {
+        // A primary that has answered others since is not lost: that time-out tells of load.
+        let lost = ending == Ending::TimedOut && self.members[host].answered_at < held.sent;
+        if lost || ending == Ending::Miss && needs == Needs::Primary {
             self.deny(now, host);
         }
-        if self.terms.remembers_writes && ending == Ending::Completed {
-            if let (Some(session), Some(lsn), Needs::Primary) = (held.stmt.session, outcome.note.lsn, needs) {
+        if let (true, Ending::Completed, Needs::Primary) = (self.terms.remembers_writes, ending, needs) {
+            if let (Some(session), Some(lsn)) = (held.stmt.session, outcome.note.lsn) {
                 self.marks.insert(session, (lsn, held.stmt.group));
             }
         }
@@ -297,7 +280,7 @@
         } else {
             self.pass(index, State::Waiting);
             let ran = self.held[index].ran.is_some();
-            let once = self.rows[held.stmt.workload].terms.effect == Effect::NonIdempotent;
+            let once = self.terms_of(&held).effect == Effect::NonIdempotent;
             // Second tries must not feed the overload that made them needed.
             let no_more = ran && (once || self.second_tries < 1.0);
             if no_more || held.executions >= self.terms.max_executions {
@@ -329,7 +312,6 @@
     }
 
     pub fn hosts(&mut self, now: f64, list: &[Listed], front: &mut impl Front) {
-        self.asked_list = true;
         let first_limit = (FIRST_LIMIT / self.terms.routers as f64).max(2.0);
         for listed in list {
             if listed.host == self.members.len() {
@@ -362,19 +344,20 @@
         &mut self.groups[group]
     }
 
-    pub fn list_failed(&mut self, _now: f64, _front: &mut impl Front) {
-        self.asked_list = false;
+    /// Asking for the list failed, or it is no longer sent: it is asked for again at the next beat.
+    pub fn list_failed(&mut self) {
+        self.list_is_due = self.terms.list_on_request;
     }
 
     /// The client left, or its time is up: nothing is owed any more.
-    pub fn hangup(&mut self, _now: f64, index: usize, _front: &mut impl Front) {
+    pub fn hangup(&mut self, index: usize) {
         let next = self.held[index].state.out_at().map_or(State::Vacant, State::Abandoned);
         self.pass(index, next);
     }
 
     pub fn timer(&mut self, now: f64, front: &mut impl Front) {
-        if self.terms.list_on_request && !self.asked_list {
-            self.asked_list = true;
+        if self.list_is_due {
+            self.list_is_due = false;
             front.follow();
         }
         self.notice_silence(now, front);
@@ -398,13 +381,12 @@
             let lags: Vec<f64> = replicas.map(|h| self.members[*h].lag).collect();
             let behind = lags.iter().filter(|lag| **lag > bound / 2.0).count();
             let part = behind as f64 / lags.len().max(1) as f64;
-            let hold =
-                at.reads_lost * part > at.writes * at.held_back && at.reads * part > at.writes && behind > 0;
             let at = &mut self.groups[group];
+            let hold = part * at.reads > at.writes && part * at.reads_lost > at.writes * at.held_back;
             at.held_back = (at.held_back + if hold { FLOW } else { -FLOW / 2.0 }).clamp(0.0, 0.95);
-            at.reads_lost -= at.reads_lost * BEAT / WORTH;
-            at.reads -= at.reads * BEAT / WORTH;
-            at.writes -= at.writes * BEAT / WORTH;
+            for worth in [&mut at.reads_lost, &mut at.reads, &mut at.writes] {
+                *worth -= *worth * BEAT / WORTH;
+            }
         }
     }
 
@@ -417,20 +399,15 @@
         }
         if to == State::Waiting {
             let all = &self.held;
-            let behind = |other: &usize| {
-                let other = &all[*other];
-                (other.rank, other.arrived) >= (held.rank, held.arrived)
-            };
-            let place = waiting.partition_point(behind);
+            let ahead = |other: &usize| (all[*other].rank, all[*other].arrived) >= (held.rank, held.arrived);
+            let place = waiting.partition_point(ahead);
             waiting.insert(place, index);
         }
-        if held.state.out_at() != to.out_at() {
-            if let Some(host) = held.state.out_at() {
-                self.members[host].in_flight -= 1;
-            }
-            if let Some(host) = to.out_at() {
-                self.members[host].in_flight += 1;
-            }
+        if let Some(host) = held.state.out_at() {
+            self.members[host].in_flight -= 1;
+        }
+        if let Some(host) = to.out_at() {
+            self.members[host].in_flight += 1;
         }
         self.held[index].state = to;
     }
@@ -438,20 +415,20 @@
     /// The final answer, at once, to what nothing better can come of.
     fn give_up(&mut self, now: f64, index: usize, front: &mut impl Front) {
         let held = self.held[index];
-        let harmless = match (self.rows[held.stmt.workload].terms.effect, held.ran) {
+        let harmless = match (self.terms_of(&held).effect, held.ran) {
             (Effect::Idempotent, _) | (_, None) => true,
             (Effect::Deduplicated { within, .. }, Some(_)) => within == Within::Everywhere,
             (Effect::NonIdempotent, Some(_)) => false,
         };
         self.pass(index, State::Vacant);
-        if let Needs::Bounded(_) = self.rows[held.stmt.workload].terms.needs {
+        if let Needs::Bounded(_) = self.terms_of(&held).needs {
             self.groups[held.stmt.group].reads_lost += held.worth;
         }
         if harmless {
             // A client that comes back after its SLO time only adds load; until then the sooner the better.
-            let late = now >= held.arrived + self.rows[held.stmt.workload].terms.slo_time;
-            let advice = if late { self.terms.max_retry_after } else { self.terms.max_retry_after.min(0.1) };
-            front.reject(index, advice);
+            let late = now >= held.arrived + self.terms_of(&held).slo_time;
+            let soonest = if late { f64::INFINITY } else { RETRY };
+            front.reject(index, self.terms.max_retry_after.min(soonest));
         } else {
             front.abort(index);
         }
@@ -464,19 +441,21 @@
     }
 
     fn place(&mut self, now: f64, index: usize, front: &mut impl Front) {
-        if now >= self.held[index].start_by {
+        let held = self.held[index];
+        self.draws += 1;
+        if now >= held.start_by {
             self.give_up(now, index, front);
-        } else if let Some(host) = self.choose(now, &self.held[index].clone()) {
+        } else if let Some(host) = self.choose(now, &held) {
             self.execute(now, index, host, front);
         }
     }
 
     /// The member to run a statement now, by the design page; none means wait.
-    fn choose(&mut self, now: f64, held: &Held) -> Option<usize> {
+    fn choose(&self, now: f64, held: &Held) -> Option<usize> {
         let group = &self.groups[held.stmt.group];
         let pointer = group.pointer;
         let to_primary = |router: &Router| pointer.filter(|host| router.room(now, *host, held));
-        if let Needs::Primary | Needs::Fresh = self.rows[held.stmt.workload].terms.needs {
+        if let Needs::Primary | Needs::Fresh = self.terms_of(held).needs {
             return to_primary(self);
         }
         let needed = self.needed(now, held);
@@ -486,25 +465,19 @@
             .partition(|host| self.members[*host].lsn >= needed);
         // A primary under suspicion is tried with a read: a write that it swallowed could not be tried again.
         let trial = pointer.filter(|host| self.members[*host].suspicion.is_some());
-        if let Some(host) = trial.filter(|host| self.room(now, *host, held)) {
-            return Some(host);
-        }
-        if self.rows[held.stmt.workload].terms.needs == Needs::Any && self.is_long(held) {
-            // Guards against long reads that stop the log: spread evenly, a few of them hold every replica back.
-            let mut behind = fresh.clone();
-            behind.sort_by(|a, b| self.members[*a].lsn.total_cmp(&self.members[*b].lsn));
-            if let Some(host) = behind.into_iter().find(|host| self.room(now, *host, held)) {
-                return Some(host);
-            }
-        }
-        if let Some(host) = self.fewest(now, &fresh, held) {
+        let mut behind = fresh.clone();
+        behind.sort_by(|a, b| self.members[*a].lsn.total_cmp(&self.members[*b].lsn));
+        // Guards against long reads that stop the log: spread evenly, a few of them hold every replica back.
+        let together = self.terms_of(held).needs == Needs::Any && self.is_long(held);
+        let first = trial.into_iter().chain(behind.into_iter().filter(|_| together));
+        let found = first.into_iter().find(|host| self.room(now, *host, held));
+        if let Some(host) = found.or_else(|| self.fewest(now, &fresh, held)) {
             return Some(host);
         }
         if fresh.is_empty() && self.terms.members_check_reads && held.missed.is_none() {
-            let room = stale.into_iter().filter(|host| self.room(now, *host, held));
-            let ahead = room.max_by(|a, b| self.members[*a].lsn.total_cmp(&self.members[*b].lsn));
-            if ahead.is_some() {
-                return ahead;
+            let open = stale.into_iter().filter(|host| self.room(now, *host, held));
+            if let Some(host) = open.max_by(|a, b| self.members[*a].lsn.total_cmp(&self.members[*b].lsn)) {
+                return Some(host);
             }
         }
         // The last resort is the primary, of which writes keep their part.
@@ -516,18 +489,13 @@
         to_primary(self).filter(|host| waited && spare(host))
     }
 
-    fn fewest(&mut self, now: f64, among: &[usize], held: &Held) -> Option<usize> {
-        let mut best: Option<((usize, bool, u64), usize)> = None;
-        for host in among.iter().copied() {
-            if self.room(now, host, held) {
-                let m = self.members[host];
-                let key = (m.in_flight, m.listed.site != self.terms.site, self.chance());
-                if best.is_none_or(|(least, _)| key < least) {
-                    best = Some((key, host));
-                }
-            }
-        }
-        best.map(|(_, host)| host)
+    fn fewest(&self, now: f64, among: &[usize], held: &Held) -> Option<usize> {
+        let open: Vec<usize> = among.iter().copied().filter(|host| self.room(now, *host, held)).collect();
+        let order = |host| {
+            let m: &Member = &self.members[host];
+            (m.in_flight, m.listed.site != self.terms.site, self.chance(host), host)
+        };
+        open.into_iter().map(order).min().map(|(.., host)| host)
     }
 
     fn is_long(&self, held: &Held) -> bool {
@@ -535,16 +503,19 @@
         self.rows[held.stmt.workload].typical > LONG * shortest
     }
 
-    fn chance(&mut self) -> u64 {
-        self.draws += 1;
+    fn terms_of(&self, held: &Held) -> &Workload {
+        &self.rows[held.stmt.workload].terms
+    }
+
+    fn chance(&self, host: usize) -> u64 {
         let mut hasher = DefaultHasher::new();
-        (self.terms.seed, self.draws).hash(&mut hasher);
+        (self.terms.seed, self.draws, host).hash(&mut hasher);
         hasher.finish()
     }
 
     /// The position a replica must have for this read, if sent at `now`.
     fn needed(&self, now: f64, held: &Held) -> f64 {
-        match self.rows[held.stmt.workload].terms.needs {
+        match self.terms_of(held).needs {
             Needs::Primary | Needs::Fresh => f64::INFINITY,
             Needs::Session => held.mark,
             Needs::Bounded(bound) => now - bound,
@@ -586,7 +557,7 @@
     }
 
     fn effect_allows(&self, now: f64, host: usize, held: &Held) -> bool {
-        match (self.rows[held.stmt.workload].terms.effect, held.ran) {
+        match (self.terms_of(held).effect, held.ran) {
             (Effect::Idempotent, _) | (_, None) => true,
             (Effect::NonIdempotent, Some(_)) => false,
             (Effect::Deduplicated { within, window }, Some((at, ran))) => {
@@ -641,8 +612,7 @@
         let m = &mut self.members[host];
         (m.rate, m.rate_at) = (rate, now);
         if let Some(s) = &mut m.suspicion {
-            s.wait = (s.wait * 2.0).min(TRIAL_MAX);
-            s.trial_at = now + s.wait;
+            s.trial_at = now + TRIAL;
         }
         let held = &mut self.held[index];
         held.executions += 1;
@@ -662,41 +632,31 @@
         let Some(role) = said.role else { return };
         let at = if answer { now } else { lsn.unwrap_or(0.0) };
         let group = &mut self.groups[m.listed.group];
-        match role {
-            Role::Primary if at > m.denied_at => {
-                m.role = Some(role);
-                if group.pointer.is_none() || group.pointer == Some(host) || at > group.claim {
-                    (group.pointer, group.claim) = (Some(host), at);
-                }
+        if role == Role::Primary && at > m.denied_at {
+            m.role = Some(role);
+            if group.pointer.is_none() || group.pointer == Some(host) || at > group.claim {
+                (group.pointer, group.claim) = (Some(host), at);
             }
-            Role::Primary => {}
-            Role::Replica if answer => self.deny(now, host),
-            Role::Replica if group.pointer != Some(host) => m.role = Some(role),
-            Role::Replica if at > group.claim => self.deny(now, host),
-            Role::Replica => {}
+        } else if role == Role::Replica && (answer || group.pointer != Some(host) || at > group.claim) {
+            self.deny(at, host);
         }
     }
 
-    /// The member is not the primary, as of now; what it said of itself before counts no more.
-    fn deny(&mut self, now: f64, host: usize) {
+    /// The member is no primary at that time; what it claimed before counts no more.
+    fn deny(&mut self, at: f64, host: usize) {
         let m = &mut self.members[host];
         m.role = Some(Role::Replica);
-        m.denied_at = now;
+        m.denied_at = m.denied_at.max(at);
         let pointer = &mut self.groups[m.listed.group].pointer;
-        if *pointer == Some(host) {
-            *pointer = None;
-        }
+        *pointer = pointer.filter(|primary| *primary != host);
     }
 
     fn suspect(&mut self, now: f64, host: usize, lost: bool) {
         let m = &mut self.members[host];
         if m.suspicion.is_none() {
-            let trial_at = now + TRIAL;
-            m.suspicion = Some(Suspicion { since: now, trial_at, wait: TRIAL, lost, probe_ok: false });
-        }
-        if self.groups[self.members[host].listed.group].pointer == Some(host) {
-            self.deny(now, host);
+            m.suspicion = Some(Suspicion { since: now, trial_at: now + TRIAL, lost, probe_ok: false });
         }
+        self.deny(now, host);
     }
 
     /// What an execution's end tells of its member and its workload.
@@ -725,14 +685,12 @@
             }
             Ending::Miss => m.answered_at = now,
             // Failing fast must not look like being idle.
-            Ending::Error | Ending::Full => {
-                m.answered_at = now;
-                m.load += LEARN * (1.0 - m.load);
-                m.limit = (m.limit * 0.8).max(1.0);
-            }
-            Ending::TimedOut | Ending::Cancelled => {
-                m.load += LEARN * (share - m.load).max(0.0);
-                m.limit = (m.limit * 0.95).max(1.0);
+            Ending::Error | Ending::Full | Ending::TimedOut | Ending::Cancelled => {
+                m.load += LEARN * (share.max(1.0) - m.load);
+                m.limit = (m.limit * 0.9).max(1.0);
+                if matches!(outcome.ending, Ending::Error | Ending::Full) {
+                    m.answered_at = now;
+                }
             }
             Ending::ConnectFailed | Ending::Reset => self.suspect(now, outcome.host, true),
             Ending::NeverSent => {}
@@ -745,16 +703,13 @@
         let mut silence = vec![0.0; self.members.len()];
         for held in &self.held {
             if let Some(host) = held.state.out_at() {
-                let m = &self.members[host];
-                let row = &self.rows[held.stmt.workload];
+                let (m, row) = (&self.members[host], &self.rows[held.stmt.workload]);
                 let typical = row.typical.max(row.terms.slo_time * m.load);
                 silence[host] += (now - held.sent.max(m.answered_at)) / typical;
             }
         }
-        for (host, silence) in silence.iter().enumerate() {
-            if *silence > SILENCE {
-                self.suspect(now, host, false);
-            }
+        for (host, _) in silence.iter().enumerate().filter(|(_, silence)| **silence > SILENCE) {
+            self.suspect(now, host, false);
         }
         for index in 0..self.held.len() {
             let held = self.held[index];
@@ -779,19 +734,18 @@
             return;
         }
         for group in 0..self.groups.len() {
-            let at = &self.groups[group];
-            let ready = |host: &usize| !self.barred(*host);
-            let unheard = |host: usize| self.members[host].role.is_none() || !self.members[host].reports;
-            let polling = at.pointer.is_none() || at.members.iter().copied().filter(ready).any(unheard);
-            for place in 0..at.members.len() {
-                let host = self.groups[group].members[place];
-                let m = &self.members[host];
+            let (pointer, members) = (self.groups[group].pointer, self.groups[group].members.clone());
+            let heard = |m: &Member| m.role.is_some() && m.reports;
+            let ready = |host: &&usize| !self.barred(**host);
+            let polling =
+                pointer.is_none() || !members.iter().filter(ready).all(|h| heard(&self.members[*h]));
+            for host in members {
+                let barred = self.barred(host);
+                let m = &mut self.members[host];
                 let ages = self.bound.is_some_and(|bound| now - m.lsn > bound - 2.0 * POLL_SOON);
-                let replica = self.groups[group].pointer != Some(host);
-                let soon = self.groups[group].pointer.is_none() || m.suspicion.is_some() || ages && replica;
-                let period = if soon { POLL_SOON } else { POLL };
-                if (polling || soon) && !m.probe_out && now - m.probed_at >= period && !self.barred(host) {
-                    let m = &mut self.members[host];
+                let soon = pointer.is_none() || m.suspicion.is_some() || ages && pointer != Some(host);
+                let due = now - m.probed_at >= if soon { POLL_SOON } else { POLL };
+                if (polling || soon) && due && !m.probe_out && !barred {
                     (m.probe_out, m.probed_at) = (true, now);
                     front.probe(host);
                 }
--- a/crates/core/src/interface.rs
+++ b/crates/core/src/interface.rs
@@ -51,6 +51,16 @@
     pub statement_timeout: f64,
 }
 
+impl Workload {
+    /// How old the data of a bounded read may be.
+    pub fn bound(&self) -> Option<f64> {
+        match self.needs {
+            Needs::Bounded(bound) => Some(bound),
+            _ => None,
+        }
+    }
+}
+
 /// Where load reports travel.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Reports {
--- a/crates/drill/src/desk.rs
+++ b/crates/drill/src/desk.rs
@@ -64,7 +64,7 @@
 
     pub fn changed(&mut self, now: f64, kind: u8, entries: &[Entry]) -> Result<(), String> {
         if kind == 3 {
-            self.router.list_failed(now, &mut self.desk);
+            self.router.list_failed();
             return Ok(());
         }
         let complete = kind != 0;
@@ -163,10 +163,10 @@
         Ok(())
     }
 
-    pub fn hangup(&mut self, now: f64, tid: u64) -> Result<(), String> {
+    pub fn hangup(&mut self, tid: u64) -> Result<(), String> {
         if let Some(&stmt) = self.desk.stmt_index.get(&tid) {
             if !mem::replace(&mut self.desk.stmts[stmt].over, true) {
-                self.router.hangup(now, stmt, &mut self.desk);
+                self.router.hangup(stmt);
             }
             self.desk.settle(stmt);
         }
--- a/crates/drill/src/wire.rs
+++ b/crates/drill/src/wire.rs
@@ -352,7 +352,7 @@
             "resolved" => tell!(Resolved, |d: &mut Drill, b| d.on(who, |i, now| i.resolved(now, b))),
             "health_result" => tell!(HealthResult, |d: &mut Drill, b| d.on(who, |i, now| i.probed(now, b))),
             "reminder" => tell!(Reminder, |d: &mut Drill, _| d.on(who, |i, now| i.reminder(now))),
-            "hangup" => tell!(Hangup, |d: &mut Drill, b: Hangup| d.on(who, |i, now| i.hangup(now, b.tid))),
+            "hangup" => tell!(Hangup, |d: &mut Drill, b: Hangup| d.on(who, |i, _| i.hangup(b.tid))),
             "roster" => tell!(Roster, |d: &mut Drill, b: Roster| {
                 d.lists.insert(b.list, b.members_list);
                 Ok(())
