--- a/crates/core/src/decide.rs
+++ b/crates/core/src/decide.rs
@@ -86,7 +86,6 @@
     sent: f64,
     /// When and where an execution was first sent that may have run.
     ran: Option<(f64, usize)>,
-    missed: Option<usize>,
 }
 
 #[derive(Clone, Copy, Debug)]
@@ -109,6 +108,8 @@
     lsn: f64,
     /// How far that position lay back when it was heard of.
     lag: f64,
+    /// It turned a read away, and has not told its position since.
+    turns_away: bool,
     reports: bool,
     probe_out: bool,
     probe_failures: u32,
@@ -219,8 +220,8 @@
             (true, Some(session), _) => self.marks.get(&session).map_or(0.0, |mark| mark.0),
             (_, _, since) => since.map_or(0.0, |since| now - since),
         };
-        let (state, arrived, sent, executions, ran, missed) = (State::Vacant, now, now, 0, None, None);
-        let held = Held { state, stmt, arrived, start_by, mark, rank, worth, executions, sent, ran, missed };
+        let (state, arrived, sent, executions, ran) = (State::Vacant, now, now, 0, None);
+        let held = Held { state, stmt, arrived, start_by, mark, rank, worth, executions, sent, ran };
         self.group(stmt.group);
         if self.held.len() <= index {
             self.held.resize(index + 1, held);
@@ -248,12 +249,8 @@
             self.held[index].ran.get_or_insert((held.sent, host));
         }
         if ending == Ending::Miss {
-            self.held[index].missed = Some(host);
-            if needs != Needs::Primary {
-                // The position it was known by was not true.
-                let needed = self.needed(held.sent, &held);
-                self.members[host].lsn = self.members[host].lsn.min(needed);
-            }
+            // It would turn away the next read too, and where it waits first that read would come late.
+            self.members[host].turns_away = needs != Needs::Primary;
         }
         self.hear(now, host, outcome.note, true);
         if let Some(report) = outcome.report {
@@ -451,10 +448,12 @@
             return to_primary(self);
         }
         let needed = self.needed(now, held);
+        let bounded = needed > f64::NEG_INFINITY;
         let replicas = group.members.iter().copied().filter(|host| Some(*host) != pointer);
-        let (fresh, stale): (Vec<usize>, Vec<usize>) = replicas
-            .filter(|host| self.usable(now, *host))
-            .partition(|host| self.members[*host].lsn >= needed);
+        let (fresh, stale): (Vec<usize>, Vec<usize>) =
+            replicas.filter(|host| self.usable(now, *host)).partition(|host| {
+                self.members[*host].lsn >= needed && !(bounded && self.members[*host].turns_away)
+            });
         // A primary under suspicion is tried with a read: a write that it swallowed could not be tried again.
         let trial = pointer.filter(|host| self.members[*host].suspicion.is_some());
         let mut behind = fresh.clone();
@@ -468,11 +467,10 @@
         if let Some(host) = found.or_else(|| self.fewest(now, &fresh, held)) {
             return Some(host);
         }
-        if fresh.is_empty() && self.terms.members_check_reads && held.missed.is_none() {
-            let open = stale.into_iter().filter(|host| self.room(now, *host, held));
-            if let Some(host) = open.max_by(|a, b| self.members[*a].lsn.total_cmp(&self.members[*b].lsn)) {
-                return Some(host);
-            }
+        let ahead = stale.into_iter().max_by(|a, b| self.members[*a].lsn.total_cmp(&self.members[*b].lsn));
+        let ahead = ahead.filter(|host| self.room(now, *host, held) && !self.members[*host].turns_away);
+        if fresh.is_empty() && self.terms.members_check_reads && ahead.is_some() {
+            return ahead;
         }
         // The last resort is the primary, of which writes keep their part.
         let waited = !fresh.is_empty() || self.terms.members_check_reads || now - held.arrived >= READ_WAIT;
@@ -596,6 +594,7 @@
         if let Some(lsn) = lsn {
             m.lsn = m.lsn.max(lsn);
             m.lag = now - m.lsn;
+            m.turns_away &= answer;
         }
         let Some(role) = said.role else { return };
         let at = if answer { now } else { lsn.unwrap_or(0.0) };
--- a/crates/core/tests/decisions.rs
+++ b/crates/core/tests/decisions.rs
@@ -270,3 +270,16 @@
     assert_eq!(world.count(Done::Reject(repeat)), 1, "its SLO time has passed");
     assert_eq!(world.count(Done::Reject(first)), 0);
 }
+
+/// Found in an incident: each read tried the most advanced replica for itself, waited there and came late.
+#[test]
+fn a_member_that_turned_a_read_away_is_asked_again_once_it_tells_its_position() {
+    let mut world = World::settled(true, [1.5, 2.0, 2.0]);
+    let first = world.ask(READ);
+    world.end(first, 1, Ending::Miss, Some(Replica));
+    let second = world.ask(READ);
+    assert_ne!(world.sent_to(second), [1]);
+    world.report(1, Replica, 1.4);
+    let third = world.ask(READ);
+    assert_eq!(world.sent_to(third), [1]);
+}
