--- a/crates/core/src/decide.rs
+++ b/crates/core/src/decide.rs
@@ -20,6 +20,8 @@
 /// Answers that use this part of the SLO time on average leave room for the long ones; above the second, too few.
 const EASY: f64 = 0.35;
 const TIGHT: f64 = 0.5;
+/// Above this, nearly all answers are late: such a member is a suspect like a silent one.
+const LATE: f64 = 0.9;
 /// Executions in flight on a member nothing is known of yet, from all routers.
 const FIRST_LIMIT: f64 = 20.0;
 /// Part of the primary's limit that reads may fill; the rest is kept for writes.
@@ -321,9 +323,7 @@
             }
         }
         self.poll(now, front);
-        for group in 0..self.groups.len() {
-            self.place_waiting(now, group, front);
-        }
+        (0..self.groups.len()).for_each(|group| self.place_waiting(now, group, front));
     }
 
     fn group(&mut self, group: usize) -> &mut Group {
@@ -345,16 +345,13 @@
     }
 
     pub fn timer(&mut self, now: f64, front: &mut impl Front) {
-        if self.list_is_due {
-            self.list_is_due = false;
+        if std::mem::take(&mut self.list_is_due) {
             front.follow();
         }
         self.notice_silence(now, front);
         self.poll(now, front);
         self.set_flow(now);
-        for group in 0..self.groups.len() {
-            self.place_waiting(now, group, front);
-        }
+        (0..self.groups.len()).for_each(|group| self.place_waiting(now, group, front));
         let (members, groups) = (&self.members, &self.groups);
         self.marks.retain(|_, (lsn, group)| groups[*group].members.iter().any(|m| members[*m].lsn < *lsn));
         front.wake(BEAT);
@@ -424,9 +421,7 @@
     }
 
     fn place_waiting(&mut self, now: f64, group: usize, front: &mut impl Front) {
-        for index in self.groups[group].waiting.clone() {
-            self.place(now, index, front);
-        }
+        self.groups[group].waiting.clone().into_iter().for_each(|index| self.place(now, index, front));
     }
 
     fn place(&mut self, now: f64, index: usize, front: &mut impl Front) {
@@ -450,20 +445,21 @@
         let needed = self.needed(now, held);
         let bounded = needed > f64::NEG_INFINITY;
         let replicas = group.members.iter().copied().filter(|host| Some(*host) != pointer);
-        let (fresh, stale): (Vec<usize>, Vec<usize>) =
+        let (mut fresh, stale): (Vec<usize>, Vec<usize>) =
             replicas.filter(|host| self.usable(now, *host)).partition(|host| {
                 self.members[*host].lsn >= needed && !(bounded && self.members[*host].turns_away)
             });
         // A primary under suspicion is tried with a read: a write that it swallowed could not be tried again.
-        let trial = pointer.filter(|host| self.members[*host].suspicion.is_some());
-        let mut behind = fresh.clone();
-        behind.sort_by(|a, b| self.members[*a].lsn.total_cmp(&self.members[*b].lsn));
-        // Guards against long reads that stop the log: spread evenly, a few of them hold every replica back.
+        let mut trial = pointer.filter(|host| self.members[*host].suspicion.is_some());
         let shortest = self.rows.iter().map(|row| row.typical).fold(f64::INFINITY, f64::min);
         let long = self.rows[held.stmt.workload].typical > LONG * shortest;
-        let together = long && self.terms_of(held).needs == Needs::Any;
-        let first = trial.into_iter().chain(behind.into_iter().filter(|_| together));
-        let found = first.into_iter().find(|host| self.room(now, *host, held));
+        if long && self.terms_of(held).needs == Needs::Any {
+            // Guards against long reads that stop the log: spread evenly, a few of them hold every replica back.
+            fresh.sort_by(|a, b| self.members[*a].lsn.total_cmp(&self.members[*b].lsn));
+            fresh.truncate(fresh.len().div_ceil(2));
+            trial = trial.or_else(|| fresh.iter().copied().find(|host| self.room(now, *host, held)));
+        }
+        let found = trial.filter(|host| self.room(now, *host, held));
         if let Some(host) = found.or_else(|| self.fewest(now, &fresh, held)) {
             return Some(host);
         }
@@ -642,7 +638,7 @@
                     if s.lost || now - s.since > MAY_HAVE_RESTARTED {
                         m.cold_since = Some(now);
                     }
-                    m.limit = (m.limit / 2.0).max(2.0);
+                    m.limit = (m.limit / 2.0).max(1.0);
                     m.load = EASY;
                 }
                 m.load += LEARN * (share - m.load);
@@ -660,6 +656,12 @@
             Ending::ConnectFailed | Ending::Reset => self.suspect(now, outcome.host, true),
             Ending::NeverSent | Ending::Miss => {}
         }
+        let (late, group) = (self.members[outcome.host].load > LATE, &self.groups[held.stmt.group]);
+        let suspects = group.members.iter().filter(|h| self.members[**h].suspicion.is_some()).count();
+        // Where most look bad it is the load; a late primary still beats none.
+        if late && group.pointer != Some(outcome.host) && 2 * suspects < group.members.len() {
+            self.suspect(now, outcome.host, false);
+        }
     }
 
     /// Guards against members that take statements and answer none: hung, cut off, paused or dead without a
