Tell stalls of the router itself from silence of its members

Cause: routers that stood still for 0.4 to 0.9 s took all members for silent, then for cold, and with no warm member to measure by sent nothing for seconds (write-up in docs/incidents).

--- a/crates/core/src/decide.rs
+++ b/crates/core/src/decide.rs
@@ -32,8 +32,6 @@
 const TRIAL: f64 = 1.0;
 /// Margin for the chance in what a cold host is sent.
 const COLD: f64 = 0.8;
-/// A member silent for longer may have been restarted unseen.
-const MAY_HAVE_RESTARTED: f64 = 1.0;
 /// First tries differ by less, from the ticks that they travel through.
 const USUAL: f64 = 0.02;
 /// Typical answer times that an execution needs to be likely in time.
@@ -54,7 +52,6 @@
 #[derive(Clone, Copy, Debug, PartialEq)]
 enum State {
     Vacant,
-    /// In its group's queue; nothing of it is out.
     Waiting,
     Executing(usize),
     /// Called off, the outcome still to come.
@@ -94,7 +91,7 @@
 struct Suspicion {
     since: f64,
     trial_at: f64,
-    /// Connections fail, rather than answers fail to come.
+    /// Connections fail, rather than answers.
     lost: bool,
     probe_ok: bool,
 }
@@ -114,12 +111,10 @@
     turns_away: bool,
     reports: bool,
     probe_out: bool,
-    probe_failures: u32,
     probed_at: f64,
     /// When an execution last came back from it; probes are answered beside the queue and prove less.
     answered_at: f64,
     in_flight: usize,
-    /// How many executions this router lets it hold.
     limit: f64,
     /// Mean time of answers as a part of their SLO time.
     load: f64,
@@ -133,9 +128,7 @@
 struct Group {
     members: Vec<usize>,
     pointer: Option<usize>,
-    /// The position with which the pointer's member claimed the role.
     claim: f64,
-    /// Part of the writes held back.
     held_back: f64,
     /// Importance, of late, of the bounded reads given up, of all of them, and of the writes.
     reads_lost: f64,
@@ -167,6 +160,11 @@
     /// Last write of each session, where sessions are remembered; emptied once all its group's members have it.
     marks: BTreeMap<u64, (f64, usize)>,
     second_tries: f64,
+    /// Work a second that a warm member of size one gets; kept while there is none.
+    warm_rate: f64,
+    called_at: f64,
+    /// When this router last came back from a stall of its own.
+    awake_since: f64,
     bound: Option<f64>,
     list_is_due: bool,
     draws: u64,
@@ -184,6 +182,9 @@
             held: Vec::new(),
             marks: BTreeMap::new(),
             second_tries: 5.0,
+            warm_rate: 0.0,
+            called_at: now,
+            awake_since: now,
             bound: terms.workloads.iter().filter_map(|w| w.bound()).reduce(f64::min),
             list_is_due: terms.list_on_request,
             draws: 0,
@@ -213,10 +214,9 @@
             let rate = self.terms.tenant_rates[tenant] / self.terms.routers as f64;
             let (left, at) = self.shares[tenant];
             let left = (left + (now - at) * rate).min(rate);
-            if left < 1.0 {
-                rank *= self.terms.over_share;
-            }
-            self.shares[tenant] = (if left < 1.0 { left } else { left - 1.0 }, now);
+            let (part, used) = if left < 1.0 { (self.terms.over_share, 0.0) } else { (1.0, 1.0) };
+            rank *= part;
+            self.shares[tenant] = (left - used, now);
         }
         let mark = match (self.terms.remembers_writes, stmt.session, stmt.since_write) {
             (true, Some(session), _) => self.marks.get(&session).map_or(0.0, |mark| mark.0),
@@ -244,16 +244,15 @@
 
     pub fn outcome(&mut self, now: f64, outcome: &Outcome, front: &mut impl Front) {
         let Outcome { stmt: index, host, ending, closed, .. } = *outcome;
+        self.wake_up(now);
         let held = self.held[index];
         let needs = self.terms_of(&held).needs;
         self.learn(now, &held, outcome);
         if !ending.never_ran() && ending != Ending::Completed {
             self.held[index].ran.get_or_insert((held.sent, host));
         }
-        if ending == Ending::Miss {
-            // It would turn away the next read too, and where it waits first that read would come late.
-            self.members[host].turns_away = needs != Needs::Primary;
-        }
+        // It would turn away the next read too, and where it waits first that read would come late.
+        self.members[host].turns_away |= ending == Ending::Miss && needs != Needs::Primary;
         self.hear(now, host, outcome.note, true);
         if let Some(report) = outcome.report {
             self.members[host].reports |= report.role.is_some();
@@ -264,10 +263,9 @@
         if lost || ending == Ending::Miss && needs == Needs::Primary {
             self.deny(now, host);
         }
-        if let (true, Ending::Completed, Needs::Primary) = (self.terms.remembers_writes, ending, needs) {
-            if let (Some(session), Some(lsn)) = (held.stmt.session, outcome.note.lsn) {
-                self.marks.insert(session, (lsn, held.stmt.group));
-            }
+        let mark = (self.terms.remembers_writes, ending, needs, held.stmt.session, outcome.note.lsn);
+        if let (true, Ending::Completed, Needs::Primary, Some(session), Some(lsn)) = mark {
+            self.marks.insert(session, (lsn, held.stmt.group));
         }
         if closed || held.state == State::Abandoned(host) {
             self.pass(index, State::Vacant);
@@ -288,14 +286,12 @@
         let m = &mut self.members[host];
         m.probe_out = false;
         let Some(report) = answer else {
-            m.probe_failures += 1;
             // One probe may be lost, or turned away under a cap; statements that pass outrank it.
-            if m.probe_failures > 1 && m.answered_at < m.probed_at - 0.5 {
-                self.suspect(now, host, true);
+            if m.answered_at < m.probed_at - 0.5 {
+                self.suspect(now, host, false);
             }
             return;
         };
-        m.probe_failures = 0;
         m.suspicion = m.suspicion.map(|s| Suspicion { probe_ok: true, ..s });
         m.reports |= report.role.is_some() && self.terms.reports == Reports::WithAnswers;
         self.hear(now, host, report, false);
@@ -306,8 +302,8 @@
         let first_limit = (FIRST_LIMIT / self.terms.routers as f64).max(2.0);
         for listed in list {
             if listed.host == self.members.len() {
-                let blank = Member { probed_at: f64::MIN, answered_at: f64::MIN, ..Member::default() };
-                self.members.push(Member { load: EASY, limit: first_limit, ..blank });
+                let new = Member { probed_at: f64::MIN, load: EASY, limit: first_limit, ..Member::default() };
+                self.members.push(new);
                 self.group(listed.group).members.push(listed.host);
             }
             let m = &mut self.members[listed.host];
@@ -333,7 +329,6 @@
         &mut self.groups[group]
     }
 
-    /// Asking for the list failed, or it is no longer sent: it is asked for again at the next beat.
     pub fn list_failed(&mut self) {
         self.list_is_due = self.terms.list_on_request;
     }
@@ -348,6 +343,12 @@
         if std::mem::take(&mut self.list_is_due) {
             front.follow();
         }
+        self.wake_up(now);
+        let warm = self.members.iter().filter(|m| self.part(now, m) >= 1.0 && m.suspicion.is_none());
+        let (count, sum) =
+            warm.fold((0.0, 0.0), |(n, sum), m| (n + 1.0, sum + self.rate(now, m) / m.listed.size));
+        let mean = if count > 0.0 { sum / count } else { self.warm_rate };
+        self.warm_rate += BEAT / self.terms.fall_span * (mean - self.warm_rate);
         self.notice_silence(now, front);
         self.poll(now, front);
         self.set_flow(now);
@@ -376,6 +377,15 @@
         }
     }
 
+    /// Guards against stalls of this router itself: a beat that did not come tells of it, and what was not heard
+    /// meanwhile tells nothing of the members.
+    fn wake_up(&mut self, now: f64) {
+        if now - self.called_at > 5.0 * BEAT {
+            self.awake_since = now;
+        }
+        self.called_at = now;
+    }
+
     /// Every change of a statement's state.
     fn pass(&mut self, index: usize, to: State) {
         let held = self.held[index];
@@ -407,9 +417,8 @@
             (Effect::NonIdempotent, Some(_)) => false,
         };
         self.pass(index, State::Vacant);
-        if let Needs::Bounded(_) = self.terms_of(&held).needs {
-            self.groups[held.stmt.group].reads_lost += held.worth;
-        }
+        let bounded = self.terms_of(&held).bound().is_some();
+        self.groups[held.stmt.group].reads_lost += if bounded { held.worth } else { 0.0 };
         if harmless {
             // A client that comes back after its SLO time only adds load; until then the sooner the better.
             let late = now >= held.arrived + self.terms_of(&held).slo_time;
@@ -470,11 +479,10 @@
         }
         // The last resort is the primary, of which writes keep their part.
         let waited = !fresh.is_empty() || self.terms.members_check_reads || now - held.arrived >= READ_WAIT;
-        let spare = |host: &usize| {
-            let m = &self.members[*host];
-            (m.in_flight as f64) < m.limit * READS_ON_PRIMARY && self.part(now, m) >= 1.0
-        };
-        to_primary(self).filter(|host| waited && spare(host))
+        let open = to_primary(self).map(|host| (host, &self.members[host]));
+        let spare =
+            |m: &Member| (m.in_flight as f64) < m.limit * READS_ON_PRIMARY && self.part(now, m) >= 1.0;
+        open.filter(|(_, m)| waited && spare(m)).map(|(host, _)| host)
     }
 
     fn fewest(&self, now: f64, among: &[usize], held: &Held) -> Option<usize> {
@@ -539,21 +547,15 @@
         }
     }
 
-    /// Guards against pushing over a cold host. Each router sends it no more than a part of what it sends to a
-    /// warm member: the part of its capacity, times the multiple at which it falls, halved because a rate that
-    /// decays over the span allows twice itself within one. So all routers together stay under the multiple.
+    /// Guards against pushing over a cold host: each router sends it its part of what warm members get, times the
+    /// multiple at which it falls, halved because a rate that decays over the span allows twice itself in one.
     fn cold_allows(&self, now: f64, host: usize, work: f64) -> bool {
         let m = &self.members[host];
         let part = self.part(now, m);
         if part >= 1.0 {
             return true;
         }
-        let warm =
-            self.members.iter().filter(|other| self.part(now, other) >= 1.0 && other.suspicion.is_none());
-        let (count, sent) =
-            warm.fold((0.0, 0.0), |(n, sum), o| (n + 1.0, sum + self.rate(now, o) / o.listed.size));
-        let allowed =
-            COLD * self.terms.fall_multiple / 2.0 * part * m.listed.size * sent / f64::max(count, 1.0);
+        let allowed = COLD * self.terms.fall_multiple / 2.0 * part * m.listed.size * self.warm_rate;
         self.rate(now, m) + work / self.terms.fall_span <= allowed
     }
 
@@ -616,9 +618,7 @@
 
     fn suspect(&mut self, now: f64, host: usize, lost: bool) {
         let m = &mut self.members[host];
-        if m.suspicion.is_none() {
-            m.suspicion = Some(Suspicion { since: now, trial_at: now + TRIAL, lost, probe_ok: false });
-        }
+        m.suspicion.get_or_insert(Suspicion { since: now, trial_at: now + TRIAL, lost, probe_ok: false });
         self.deny(now, host);
     }
 
@@ -626,16 +626,17 @@
     fn learn(&mut self, now: f64, held: &Held, outcome: &Outcome) {
         let row = &mut self.rows[held.stmt.workload];
         let m = &mut self.members[outcome.host];
-        let share = outcome.took / row.terms.slo_time;
+        let stalled = held.sent < self.awake_since;
+        let share = if stalled { m.load } else { outcome.took / row.terms.slo_time };
         if matches!(outcome.ending, Ending::Completed | Ending::Miss | Ending::Error | Ending::Full) {
             m.answered_at = now;
         }
         match outcome.ending {
             Ending::Completed => {
-                row.typical += LEARN_SLOWLY * (outcome.took - row.typical);
+                row.typical += if stalled { 0.0 } else { LEARN_SLOWLY * (outcome.took - row.typical) };
                 if let Some(s) = m.suspicion.take() {
                     // The list tells of a restart late: a host that was away may have come back cold.
-                    if s.lost || now - s.since > MAY_HAVE_RESTARTED {
+                    if s.lost || now - s.since > TRIAL {
                         m.cold_since = Some(now);
                     }
                     m.limit = (m.limit / 2.0).max(1.0);
@@ -672,11 +673,13 @@
             if let Some(host) = held.state.out_at() {
                 let (m, row) = (&self.members[host], &self.rows[held.stmt.workload]);
                 let typical = row.typical.max(row.terms.slo_time * m.load);
-                silence[host] += (now - held.sent.max(m.answered_at)) / typical;
+                silence[host] += (now - held.sent.max(m.answered_at).max(self.awake_since)) / typical;
             }
         }
-        for (host, _) in silence.iter().enumerate().filter(|(_, silence)| **silence > SILENCE) {
-            self.suspect(now, host, false);
+        let silent: Vec<usize> = (0..silence.len()).filter(|host| silence[*host] > SILENCE).collect();
+        // Where most members are silent at once, the judgement or the router's own link is at fault.
+        if 2 * silent.len() <= self.members.len() {
+            silent.into_iter().for_each(|host| self.suspect(now, host, false));
         }
         for index in 0..self.held.len() {
             let held = self.held[index];
--- a/crates/core/tests/decisions.rs
+++ b/crates/core/tests/decisions.rs
@@ -167,7 +167,7 @@
     let mut sent = [0; 4];
     for _ in 0..200 {
         let read = world.ask(READ);
-        world.now += 0.01;
+        world.pass(0.01);
         for host in world.sent_to(read) {
             sent[host] += 1;
             world.end(read, host, Ending::Completed, None);
@@ -283,3 +283,43 @@
     let third = world.ask(READ);
     assert_eq!(world.sent_to(third), [1]);
 }
+
+/// Found in an incident: a router that had stalled took every member for silent, then for cold, and sent nothing.
+#[rstest]
+#[case::router_stalled(0.8, 0.0, true)]
+#[case::member_silent(0.0, 0.8, false)]
+fn a_stall_of_the_router_tells_nothing_of_members(
+    #[case] stall: f64,
+    #[case] wait: f64,
+    #[case] trusted: bool,
+) {
+    let mut world = World::settled(true, [0.0, 9.0, 9.0]);
+    let reads: Vec<usize> = (0..4).map(|_| world.ask_with(READ, 0.75)).collect();
+    assert!(reads.iter().all(|read| world.sent_to(*read) == [1]));
+    world.now += stall;
+    world.pass(wait + 0.02);
+    world.end(reads[0], 1, Ending::TimedOut, None);
+    world.report(1, Replica, 0.0);
+    let next = world.ask(READ);
+    assert_eq!(world.sent_to(next) == [1], trusted);
+}
+
+/// Found in an incident: with every member cold there was no warm one to measure by, and nothing was sent.
+#[test]
+fn a_group_that_is_all_cold_still_gets_its_part() {
+    let mut world = World::settled(true, [0.0; 3]);
+    let mut sent = 0;
+    for round in 0..500 {
+        if round == 200 {
+            (0..4).for_each(|host| world.list(host, Standing::Ready, Some(world.now)));
+        }
+        world.pass(0.02);
+        (1..4).for_each(|host| world.report(host, Replica, 0.0));
+        let read = world.ask(READ);
+        for host in world.sent_to(read) {
+            sent += usize::from(round >= 200);
+            world.end(read, host, Ending::Completed, None);
+        }
+    }
+    assert!((5..200).contains(&sent), "{sent}");
+}
