--- a/crates/core/src/decide.rs
+++ b/crates/core/src/decide.rs
@@ -20,8 +20,6 @@
 /// Answers that use this part of the SLO time on average leave room for the long ones; above the second, too few.
 const EASY: f64 = 0.35;
 const TIGHT: f64 = 0.5;
-/// Above this, nearly all answers are late: such a member is a suspect like a silent one.
-const LATE: f64 = 0.9;
 /// Executions in flight on a member nothing is known of yet, from all routers.
 const FIRST_LIMIT: f64 = 20.0;
 /// Part of the primary's limit that reads may fill; the rest is kept for writes.
@@ -146,6 +144,7 @@
     /// The time most clients give a first try, and by how many votes it leads.
     usual: f64,
     votes: i32,
+    may_return: f64,
 }
 
 pub struct Router {
@@ -173,7 +172,13 @@
 impl Router {
     pub fn start(now: f64, terms: Terms, front: &mut impl Front) -> Router {
         let rows = terms.workloads.iter();
-        let rows = rows.map(|w| Row { terms: w.clone(), typical: w.slo_time / 6.0, usual: 0.0, votes: 0 });
+        let rows = rows.map(|w| Row {
+            terms: w.clone(),
+            typical: w.slo_time / 6.0,
+            usual: 0.0,
+            votes: 0,
+            may_return: 0.0,
+        });
         let router = Router {
             rows: rows.collect(),
             shares: vec![(0.0, now); terms.tenant_rates.len()],
@@ -205,18 +210,23 @@
             }
         }
         let later = (stmt.time_left - row.usual).abs() >= USUAL;
-        let passed = if later { (row.terms.statement_timeout - stmt.time_left).max(0.0) } else { 0.0 };
-        let worth = if later || stmt.repeat { 0.0 } else { row.terms.importance };
+        // Unmarked, another time than the usual tells of a later try only as far as tries have failed here.
+        let returned = stmt.repeat || later && row.may_return >= 1.0;
+        row.may_return -= if later && returned { row.may_return.min(1.0) } else { 0.0 };
+        let passed =
+            if later && returned { (row.terms.statement_timeout - stmt.time_left).max(0.0) } else { 0.0 };
+        let worth = if returned { 0.0 } else { row.terms.importance };
         let slo_left = if row.terms.late_share > 0.0 { f64::INFINITY } else { row.terms.slo_time - passed };
-        let start_by = now + stmt.time_left.min(slo_left) - ENOUGH * row.typical;
+        let left = stmt.time_left.min(slo_left);
+        // What may be placed at once is worth a try even with little time.
+        let start_by = now + (left - ENOUGH * row.typical).max((left - row.typical * 0.7).min(0.001));
         let mut rank = row.terms.importance / row.typical;
         if let Some(tenant) = stmt.tenant {
             let rate = self.terms.tenant_rates[tenant] / self.terms.routers as f64;
             let (left, at) = self.shares[tenant];
             let left = (left + (now - at) * rate).min(rate);
-            let (part, used) = if left < 1.0 { (self.terms.over_share, 0.0) } else { (1.0, 1.0) };
-            rank *= part;
-            self.shares[tenant] = (left - used, now);
+            rank *= if left < 1.0 { self.terms.over_share } else { 1.0 };
+            self.shares[tenant] = (if left < 1.0 { left } else { left - 1.0 }, now);
         }
         let mark = match (self.terms.remembers_writes, stmt.session, stmt.since_write) {
             (true, Some(session), _) => self.marks.get(&session).map_or(0.0, |mark| mark.0),
@@ -225,9 +235,7 @@
         let (state, arrived, sent, executions, ran) = (State::Vacant, now, now, 0, None);
         let held = Held { state, stmt, arrived, start_by, mark, rank, worth, executions, sent, ran };
         self.group(stmt.group);
-        if self.held.len() <= index {
-            self.held.resize(index + 1, held);
-        }
+        self.held.resize(self.held.len().max(index + 1), held);
         self.held[index] = held;
         self.second_tries = (self.second_tries + SECOND_TRIES).min(20.0);
         self.pass(index, State::Waiting);
@@ -310,9 +318,8 @@
             if listed.started_at.is_some() && listed.started_at != m.listed.started_at {
                 (m.cold_since, m.limit) = (listed.started_at, first_limit);
             }
-            if listed.standing != Standing::Gone {
-                m.drained = listed.standing == Standing::Draining;
-            }
+            m.drained &= listed.standing != Standing::Ready;
+            m.drained |= listed.standing == Standing::Draining;
             m.listed = *listed;
             if self.barred(listed.host) {
                 self.deny(now, listed.host);
@@ -323,9 +330,7 @@
     }
 
     fn group(&mut self, group: usize) -> &mut Group {
-        if self.groups.len() <= group {
-            self.groups.resize(group + 1, Group::default());
-        }
+        self.groups.resize(self.groups.len().max(group + 1), Group::default());
         &mut self.groups[group]
     }
 
@@ -335,6 +340,7 @@
 
     /// The client left, or its time is up: nothing is owed any more.
     pub fn hangup(&mut self, index: usize) {
+        self.rows[self.held[index].stmt.workload].may_return += 1.0;
         let next = self.held[index].state.out_at().map_or(State::Vacant, State::Abandoned);
         self.pass(index, next);
     }
@@ -349,6 +355,7 @@
             warm.fold((0.0, 0.0), |(n, sum), m| (n + 1.0, sum + self.rate(now, m) / m.listed.size));
         let mean = if count > 0.0 { sum / count } else { self.warm_rate };
         self.warm_rate += BEAT / self.terms.fall_span * (mean - self.warm_rate);
+        self.rows.iter_mut().for_each(|row| row.may_return -= row.may_return * BEAT / WORTH);
         self.notice_silence(now, front);
         self.poll(now, front);
         self.set_flow(now);
@@ -371,9 +378,8 @@
             let at = &mut self.groups[group];
             let hold = part * at.reads > at.writes && part * at.reads_lost > at.writes * at.held_back;
             at.held_back = (at.held_back + if hold { FLOW } else { -FLOW / 2.0 }).clamp(0.0, 0.95);
-            for worth in [&mut at.reads_lost, &mut at.reads, &mut at.writes] {
-                *worth -= *worth * BEAT / WORTH;
-            }
+            let fade = |worth: &mut f64| *worth -= *worth * BEAT / WORTH;
+            [&mut at.reads_lost, &mut at.reads, &mut at.writes].into_iter().for_each(fade);
         }
     }
 
@@ -417,6 +423,8 @@
             (Effect::NonIdempotent, Some(_)) => false,
         };
         self.pass(index, State::Vacant);
+        let row = &mut self.rows[held.stmt.workload];
+        row.may_return += if held.worth > 0.0 { 1.0 } else { 0.5 };
         let bounded = self.terms_of(&held).bound().is_some();
         self.groups[held.stmt.group].reads_lost += if bounded { held.worth } else { 0.0 };
         if harmless {
@@ -657,12 +665,6 @@
             Ending::ConnectFailed | Ending::Reset => self.suspect(now, outcome.host, true),
             Ending::NeverSent | Ending::Miss => {}
         }
-        let (late, group) = (self.members[outcome.host].load > LATE, &self.groups[held.stmt.group]);
-        let suspects = group.members.iter().filter(|h| self.members[**h].suspicion.is_some()).count();
-        // Where most look bad it is the load; a late primary still beats none.
-        if late && group.pointer != Some(outcome.host) && 2 * suspects < group.members.len() {
-            self.suspect(now, outcome.host, false);
-        }
     }
 
     /// Guards against members that take statements and answer none: hung, cut off, paused or dead without a
@@ -700,9 +702,6 @@
 
     /// Probes each member of a polling group, and those whose next word decides something.
     fn poll(&mut self, now: f64, front: &mut impl Front) {
-        if !self.terms.may_probe {
-            return;
-        }
         for group in 0..self.groups.len() {
             let (pointer, members) = (self.groups[group].pointer, self.groups[group].members.clone());
             let heard = |m: &Member| m.role.is_some() && m.reports;
@@ -715,7 +714,7 @@
                 let ages = self.bound.is_some_and(|bound| now - m.lsn > bound - 2.0 * POLL_SOON);
                 let soon = pointer.is_none() || m.suspicion.is_some() || ages && pointer != Some(host);
                 let due = now - m.probed_at >= if soon { POLL_SOON } else { POLL };
-                if (polling || soon) && due && !m.probe_out && !barred {
+                if self.terms.may_probe && (polling || soon) && due && !m.probe_out && !barred {
                     (m.probe_out, m.probed_at) = (true, now);
                     front.probe(host);
                 }
