--- a/crates/core/src/decide.rs
+++ b/crates/core/src/decide.rs
@@ -34,6 +34,8 @@
 const USUAL: f64 = 0.02;
 /// Typical answer times that an execution needs to be likely in time.
 const ENOUGH: f64 = 1.4;
+/// What can be placed at once is worth a try with this many left.
+const HASTE: f64 = 0.7;
 /// Further executions of what may have run, as a part of first ones.
 const SECOND_TRIES: f64 = 0.1;
 /// When a client that was turned away in time may try again.
@@ -218,8 +220,7 @@
         let worth = if returned { 0.0 } else { row.terms.importance };
         let slo_left = if row.terms.late_share > 0.0 { f64::INFINITY } else { row.terms.slo_time - passed };
         let left = stmt.time_left.min(slo_left);
-        // What may be placed at once is worth a try even with little time.
-        let start_by = now + (left - ENOUGH * row.typical).max((left - row.typical * 0.7).min(0.001));
+        let start_by = now + (left - ENOUGH * row.typical).max((left - HASTE * row.typical).min(BEAT / 10.0));
         let mut rank = row.terms.importance / row.typical;
         if let Some(tenant) = stmt.tenant {
             let rate = self.terms.tenant_rates[tenant] / self.terms.routers as f64;
