--- a/crates/core/src/decide.rs
+++ b/crates/core/src/decide.rs
@@ -1,7 +1,7 @@
-//! The decisions of ottersill: which member of its group runs a statement, when it waits, when it is given up.
+//! The decisions of ottersill: which member runs a statement, when it waits, when it is given up.
 //!
 //! How to call it: build a [`Router`] with `start`, then call `statement`, `outcome`, `probed`, `hosts`,
-//! `list_failed`, `hangup` and `timer` as these happen, with a clock in seconds. Each call answers through the
+//! `list_failed`, `hangup` and `timer` as these happen, with a clock in seconds. Each answers through the
 //! `Front` it is lent. The types, the `Terms` read at start and the trait `Front` are in `interface.rs`.
 
 use std::collections::BTreeMap;
@@ -11,20 +11,20 @@
 
 /// Probes a second for each member while its group polls (the design's default).
 const POLL: f64 = 1.0;
-/// Between probes where the next answer decides something: no primary, a suspect, a position about to age out.
+/// Between probes where the next answer decides something: no primary, a suspect, a position about to age.
 const POLL_SOON: f64 = 0.25;
-/// Between two looks at what waits and what is silent; well under any SLO time, and rare enough to cost nothing.
+/// Between two looks at what waits and what is silent; well under any SLO time, too rare to cost anything.
 const BEAT: f64 = 0.02;
 /// How long a read that finds no fresh replica waits before it takes the primary.
 const READ_WAIT: f64 = 0.03;
-/// Answers that use this part of the SLO time on average leave room for the long ones; above the second, too few.
+/// Answers that use this part of the SLO time on average leave room for the long ones; the second does not.
 const EASY: f64 = 0.35;
 const TIGHT: f64 = 0.5;
 /// Executions in flight on a member nothing is known of yet, from all routers.
 const FIRST_LIMIT: f64 = 20.0;
 /// Part of the primary's limit that reads may fill; the rest is kept for writes.
 const READS_ON_PRIMARY: f64 = 0.5;
-/// Silence, in typical answer times summed over what is out, that chance does not explain (e^-7 is 1 in 1000).
+/// Silence, in typical answer times summed over what is out, that chance hardly explains (e^-7: 1 in 1000).
 const SILENCE: f64 = 7.0;
 /// Time between trials of a suspect.
 const TRIAL: f64 = 1.0;
@@ -134,7 +134,7 @@
     reads_lost: f64,
     reads: f64,
     writes: f64,
-    /// Highest rank first, newest first within a rank, as the oldest would come late; emptied by sends, rejections and hangups.
+    /// Highest rank first, then newest, as the oldest would come late; sends, rejections, hangups empty it.
     waiting: Vec<usize>,
 }
 
@@ -158,7 +158,7 @@
     held: Vec<Held>,
     /// Statements each tenant may still send within its share, as of the time beside it.
     shares: Vec<(f64, f64)>,
-    /// Last write of each session, where sessions are remembered; emptied once all its group's members have it.
+    /// Last write of each session, where sessions are remembered; emptied once all the group has it.
     marks: BTreeMap<u64, (f64, usize)>,
     second_tries: f64,
     /// Work a second that a warm member of size one gets; kept while there is none.
@@ -366,7 +366,7 @@
         front.wake(BEAT);
     }
 
-    /// Guards against replicas that all fall behind for good: writes are let through as replicas can apply them,
+    /// Guards against replicas that fall behind for good: writes are let through as replicas can apply them,
     /// as long as the reads that the stale ones could answer are worth more than the writes held back.
     fn set_flow(&mut self, now: f64) {
         let Some(bound) = self.bound else { return };
@@ -384,7 +384,7 @@
         }
     }
 
-    /// Guards against stalls of this router itself: a beat that did not come tells of it, and what was not heard
+    /// Guards against stalls of this router itself: a late beat tells of it, and what was not heard
     /// meanwhile tells nothing of the members.
     fn wake_up(&mut self, now: f64) {
         if now - self.called_at > 5.0 * BEAT {
@@ -472,7 +472,7 @@
         let shortest = self.rows.iter().map(|row| row.typical).fold(f64::INFINITY, f64::min);
         let long = self.rows[held.stmt.workload].typical > LONG * shortest;
         if long && self.terms_of(held).needs == Needs::Any {
-            // Guards against long reads that stop the log: spread evenly, a few of them hold every replica back.
+            // Guards against long reads that stop the log: spread evenly, a few hold every replica back.
             fresh.sort_by(|a, b| self.members[*a].lsn.total_cmp(&self.members[*b].lsn));
             fresh.truncate(fresh.len().div_ceil(2));
             trial = trial.or_else(|| fresh.iter().copied().find(|host| self.room(now, *host, held)));
@@ -556,8 +556,8 @@
         }
     }
 
-    /// Guards against pushing over a cold host: each router sends it its part of what warm members get, times the
-    /// multiple at which it falls, halved because a rate that decays over the span allows twice itself in one.
+    /// Guards against pushing over a cold host: it gets its part of what warm members get, times the
+    /// multiple at which it falls, halved as a rate that decays over the span allows twice itself in one.
     fn cold_allows(&self, now: f64, host: usize, work: f64) -> bool {
         let m = &self.members[host];
         let part = self.part(now, m);
@@ -689,7 +689,7 @@
             if let State::Executing(host) = held.state {
                 let (row, m) = (&self.rows[held.stmt.workload], &self.members[host]);
                 let silent = m.suspicion.is_some() && m.answered_at < held.sent;
-                // The last moment at which another member can still answer in time: it may wake up until then.
+                // The last moment at which another member can still answer in time; it may wake up before.
                 let last_moment = now >= held.start_by - row.typical && now < held.start_by;
                 let idempotent = row.terms.effect == Effect::Idempotent;
                 let may = self.terms.may_cancel && held.executions < self.terms.max_executions;
