--- a/crates/core/src/decide.rs
+++ b/crates/core/src/decide.rs
@@ -2,17 +2,21 @@
 //!
 //! How to call it: build a [`Router`] with `start`, then call `statement`, `outcome`, `probed`, `hosts`,
 //! `list_failed`, `hangup` and `timer` as these happen, with a clock in seconds. Each answers through the
-//! `Front` it is lent. The types, the `Terms` read at start and the trait `Front` are in `interface.rs`.
+//! `Front` it is lent. The types, the `Terms` read at start and the trait `Front` are in `interface.rs`; the
+//! records that the router keeps are in `state.rs`.
 
 use std::collections::BTreeMap;
 use std::hash::{DefaultHasher, Hash, Hasher};
 
 use crate::interface::*;
+use crate::state::*;
 
 /// Probes a second for each member while its group polls (the design's default).
 const POLL: f64 = 1.0;
 /// Between probes where the next answer decides something: no primary, a suspect, a position about to age.
 const POLL_SOON: f64 = 0.25;
+/// Probes that a statement pays for: what is told of a member is worth as much as is asked of it.
+const PROBES: f64 = 0.25;
 /// Between two looks at what waits and what is silent; well under any SLO time, too rare to cost anything.
 const BEAT: f64 = 0.02;
 /// How long a read that finds no fresh replica waits before it takes the primary.
@@ -48,106 +52,10 @@
 /// Weight of the newest answer in what is learnt of a member, and of a workload.
 const LEARN: f64 = 0.1;
 const LEARN_SLOWLY: f64 = 0.02;
-
-#[derive(Clone, Copy, Debug, PartialEq)]
-enum State {
-    Vacant,
-    Waiting,
-    Executing(usize),
-    /// Called off, the outcome still to come.
-    Recalled(usize),
-    /// Has its final answer, or its client left, while an execution is still out.
-    Abandoned(usize),
-}
-
-impl State {
-    fn out_at(self) -> Option<usize> {
-        match self {
-            State::Executing(host) | State::Recalled(host) | State::Abandoned(host) => Some(host),
-            State::Vacant | State::Waiting => None,
-        }
-    }
-}
-
-#[derive(Clone, Copy, Debug)]
-struct Held {
-    state: State,
-    stmt: Statement,
-    arrived: f64,
-    /// From here on an execution would earn nothing.
-    start_by: f64,
-    /// The position a member needs, for session reads.
-    mark: f64,
-    rank: f64,
-    /// Its importance, if this is the client's first try as far as can be told.
-    worth: f64,
-    executions: u32,
-    sent: f64,
-    /// When and where an execution was first sent that may have run.
-    ran: Option<(f64, usize)>,
-}
-
-#[derive(Clone, Copy, Debug)]
-struct Suspicion {
-    since: f64,
-    trial_at: f64,
-    /// Connections fail, rather than answers.
-    lost: bool,
-    probe_ok: bool,
-}
-
-#[derive(Clone, Copy, Debug, Default)]
-struct Member {
-    listed: Listed,
-    drained: bool,
-    cold_since: Option<f64>,
-    role: Option<Role>,
-    /// Claims of being primary that are not newer than this are disregarded.
-    denied_at: f64,
-    lsn: f64,
-    /// How far that position lay back when it was heard of.
-    lag: f64,
-    /// It turned a read away, and has not told its position since.
-    turns_away: bool,
-    reports: bool,
-    probe_out: bool,
-    probed_at: f64,
-    /// When an execution last came back from it; probes are answered beside the queue and prove less.
-    answered_at: f64,
-    in_flight: usize,
-    limit: f64,
-    /// Mean time of answers as a part of their SLO time.
-    load: f64,
-    suspicion: Option<Suspicion>,
-    /// Work sent a second, decayed over the fall span, as of `rate_at`.
-    rate: f64,
-    rate_at: f64,
-}
-
-#[derive(Clone, Debug, Default)]
-struct Group {
-    members: Vec<usize>,
-    pointer: Option<usize>,
-    claim: f64,
-    held_back: f64,
-    /// Importance, of late, of the bounded reads given up, of all of them, and of the writes.
-    reads_lost: f64,
-    reads: f64,
-    writes: f64,
-    /// Highest rank first, then newest, as the oldest would come late; sends, rejections, hangups empty it.
-    waiting: Vec<usize>,
-}
-
-/// What differs by workload and is learnt.
-#[derive(Clone, Debug)]
-struct Row {
-    terms: Workload,
-    typical: f64,
-    /// The time most clients give a first try, and by how many votes it leads.
-    usual: f64,
-    votes: i32,
-    may_return: f64,
-}
+/// Time after which what was learnt of a member counts half.
+const FADE: f64 = 1.0;
+/// Time after which a member that took nothing is tried again.
+const FORGET: f64 = 10.0;
 
 pub struct Router {
     terms: Terms,
@@ -161,40 +69,56 @@
     /// Last write of each session, where sessions are remembered; emptied once all the group has it.
     marks: BTreeMap<u64, (f64, usize)>,
     second_tries: f64,
-    /// Work a second that a warm member of size one gets; kept while there is none.
-    warm_rate: f64,
+    /// Probes paid for and not sent yet.
+    probes: f64,
     called_at: f64,
     /// When this router last came back from a stall of its own.
     awake_since: f64,
     bound: Option<f64>,
     list_is_due: bool,
     draws: u64,
+    /// The group whose turn it is to be looked at on a beat though nothing waits there.
+    turn: usize,
+}
+
+impl Member {
+    /// Weight of one answer: what was learnt fades, and a router that hears rarely has little else to go by.
+    fn weight(&self, now: f64) -> f64 {
+        let since = now - self.answered_at;
+        (since / (since + FADE)).clamp(LEARN, 0.5)
+    }
+
+    /// Whether one more execution is within a part of the limit. Guards against hundreds of routers that each
+    /// have one out: the fraction of a limit goes by lot. A bad word fades, or nothing better would be heard.
+    fn holds(&self, now: f64, part: f64, odds: f64) -> bool {
+        let limit = self.limit.max(((now - self.answered_at) / FORGET).min(1.0));
+        (self.in_flight + 1) as f64 <= limit * part + odds
+    }
 }
 
 impl Router {
     pub fn start(now: f64, terms: Terms, front: &mut impl Front) -> Router {
-        let rows = terms.workloads.iter();
-        let rows = rows.map(|w| Row {
+        let row = |w: &Workload| Row {
             terms: w.clone(),
             typical: w.slo_time / 6.0,
-            usual: 0.0,
-            votes: 0,
+            usual: (0.0, 0),
             may_return: 0.0,
-        });
+        };
         let router = Router {
-            rows: rows.collect(),
+            rows: terms.workloads.iter().map(row).collect(),
             shares: vec![(0.0, now); terms.tenant_rates.len()],
             members: Vec::new(),
             groups: Vec::new(),
             held: Vec::new(),
             marks: BTreeMap::new(),
             second_tries: 5.0,
-            warm_rate: 0.0,
+            probes: 0.0,
             called_at: now,
             awake_since: now,
             bound: terms.workloads.iter().filter_map(|w| w.bound()).reduce(f64::min),
             list_is_due: terms.list_on_request,
             draws: 0,
+            turn: 0,
             terms,
         };
         front.wake(BEAT);
@@ -204,19 +128,17 @@
     pub fn statement(&mut self, now: f64, index: usize, stmt: Statement, front: &mut impl Front) {
         let row = &mut self.rows[stmt.workload];
         // A client gives each first try the same time, and a later one what is left of its patience.
-        let later = (stmt.time_left - row.usual).abs() >= USUAL;
+        let (usual, votes) = row.usual;
         if !stmt.repeat {
-            row.votes += if later { -1 } else { 1 };
-            if row.votes < 0 {
-                (row.usual, row.votes) = (stmt.time_left, 1);
-            }
+            let vote = if (stmt.time_left - usual).abs() < USUAL { 1 } else { -1 };
+            row.usual = if votes + vote < 0 { (stmt.time_left, 1) } else { (usual, votes + vote) };
         }
-        let later = (stmt.time_left - row.usual).abs() >= USUAL;
+        let later = (stmt.time_left - row.usual.0).abs() >= USUAL;
         // Unmarked, another time than the usual tells of a later try only as far as tries have failed here.
         let returned = stmt.repeat || later && row.may_return >= 1.0;
-        row.may_return -= if later && returned { row.may_return.min(1.0) } else { 0.0 };
-        let passed =
-            if later && returned { (row.terms.statement_timeout - stmt.time_left).max(0.0) } else { 0.0 };
+        let late = later && returned;
+        row.may_return -= if late { row.may_return.min(1.0) } else { 0.0 };
+        let passed = if late { (row.terms.statement_timeout - stmt.time_left).max(0.0) } else { 0.0 };
         let worth = if returned { 0.0 } else { row.terms.importance };
         let slo_left = if row.terms.late_share > 0.0 { f64::INFINITY } else { row.terms.slo_time - passed };
         let left = stmt.time_left.min(slo_left);
@@ -234,21 +156,24 @@
             (_, _, since) => since.map_or(0.0, |since| now - since),
         };
         let (state, arrived, sent, executions, ran) = (State::Vacant, now, now, 0, None);
-        let held = Held { state, stmt, arrived, start_by, mark, rank, worth, executions, sent, ran };
+        let lot = self.draws;
+        let held = Held { state, stmt, arrived, start_by, mark, rank, lot, worth, executions, sent, ran };
         self.group(stmt.group);
         self.held.resize(self.held.len().max(index + 1), held);
         self.held[index] = held;
         self.second_tries = (self.second_tries + SECOND_TRIES).min(20.0);
+        self.probes = (self.probes + PROBES).min(20.0);
         self.pass(index, State::Waiting);
-        let (needs, group) = (self.rows[stmt.workload].terms.needs, &mut self.groups[stmt.group]);
-        let (read, write) = (matches!(needs, Needs::Bounded(_)), needs == Needs::Primary);
-        group.reads += if read { worth } else { 0.0 };
-        group.writes += if write { worth } else { 0.0 };
+        let needs = self.terms_of(&held).needs;
+        let group = &mut self.groups[stmt.group];
+        group.reads += if let Needs::Bounded(_) = needs { worth } else { 0.0 };
+        group.writes += if needs == Needs::Primary { worth } else { 0.0 };
         let held_back = group.held_back;
-        if write && (self.chance(index) as f64) < held_back * u64::MAX as f64 {
+        if needs == Needs::Primary && self.chance(index) < held_back {
             return self.give_up(now, index, front);
         }
         self.place(now, index, front);
+        self.poll(now, stmt.group, front);
     }
 
     pub fn outcome(&mut self, now: f64, outcome: &Outcome, front: &mut impl Front) {
@@ -269,11 +194,13 @@
         }
         // A primary that has answered others since is not lost: that time-out tells of load.
         let lost = ending == Ending::TimedOut && self.members[host].answered_at < held.sent;
-        if lost || ending == Ending::Miss && needs == Needs::Primary {
+        if ending == Ending::Miss && needs == Needs::Primary {
             self.deny(now, host);
+        } else if lost {
+            self.unseat(host);
         }
-        let mark = (self.terms.remembers_writes, ending, needs, held.stmt.session, outcome.note.lsn);
-        if let (true, Ending::Completed, Needs::Primary, Some(session), Some(lsn)) = mark {
+        let wrote = self.terms.remembers_writes && ending == Ending::Completed && needs == Needs::Primary;
+        if let (true, Some(session), Some(lsn)) = (wrote, held.stmt.session, outcome.note.lsn) {
             self.marks.insert(session, (lsn, held.stmt.group));
         }
         if closed || held.state == State::Abandoned(host) {
@@ -290,18 +217,31 @@
         self.place_waiting(now, held.stmt.group, front);
     }
 
-    /// A probe's end: what the member reported, or none if it did not answer.
-    pub fn probed(&mut self, now: f64, host: usize, answer: Option<Report>, front: &mut impl Front) {
+    /// A probe's end, and what the member reported if it did.
+    pub fn probed(&mut self, now: f64, host: usize, ending: Ending, report: Report, front: &mut impl Front) {
+        let lot = self.chance(host);
         let m = &mut self.members[host];
         m.probe_out = false;
-        let Some(report) = answer else {
-            // One probe may be lost, or turned away under a cap; statements that pass outrank it.
-            if m.answered_at < m.probed_at - 0.5 {
-                self.suspect(now, host, false);
+        let silent = matches!(ending, Ending::TimedOut | Ending::ConnectFailed | Ending::Reset);
+        // One probe may be lost; statements that pass outrank it.
+        if silent && m.answered_at < m.probed_at - 0.5 {
+            self.suspect(now, host, false);
+        }
+        let m = &mut self.members[host];
+        m.suspicion = match m.suspicion {
+            Some(s) if silent => Some(Suspicion { dark: true, ..s }),
+            // Back after an absence: what it was before no longer counts.
+            Some(s) if s.dark => {
+                (m.cold_since, m.load, m.limit) = (Some(now), EASY, m.limit / 2.0);
+                None
             }
-            return;
+            // It was there all the time: a cap on connections, or an answer that was lost, is no restart.
+            Some(s) if s.lost => None,
+            // A hung process answers probes; only an execution clears it.
+            suspicion => suspicion.map(|s| Suspicion { probe_ok: true, ..s }),
         };
-        m.suspicion = m.suspicion.map(|s| Suspicion { probe_ok: true, ..s });
+        // Many routers that ask in step would be turned away in step.
+        m.probed_at -= if ending == Ending::Full { lot * POLL_SOON } else { 0.0 };
         m.reports |= report.role.is_some() && self.terms.reports == Reports::WithAnswers;
         self.hear(now, host, report, false);
         self.place_waiting(now, self.members[host].listed.group, front);
@@ -311,8 +251,11 @@
         let first_limit = (FIRST_LIMIT / self.terms.routers as f64).max(2.0);
         for listed in list {
             if listed.host == self.members.len() {
-                let new = Member { probed_at: f64::MIN, load: EASY, limit: first_limit, ..Member::default() };
+                // Spread over a second, unless a statement waits: all routers may start at once.
+                let probed_at = now - POLL * self.chance(listed.host);
+                let new = Member { probed_at, load: EASY, limit: first_limit, ..Member::default() };
                 self.members.push(new);
+                self.probes += 1.0;
                 self.group(listed.group).members.push(listed.host);
             }
             let m = &mut self.members[listed.host];
@@ -323,10 +266,9 @@
             m.drained |= listed.standing == Standing::Draining;
             m.listed = *listed;
             if self.barred(listed.host) {
-                self.deny(now, listed.host);
+                self.unseat(listed.host);
             }
         }
-        self.poll(now, front);
         (0..self.groups.len()).for_each(|group| self.place_waiting(now, group, front));
     }
 
@@ -351,16 +293,16 @@
             front.follow();
         }
         self.wake_up(now);
-        let warm = self.members.iter().filter(|m| self.part(now, m) >= 1.0 && m.suspicion.is_none());
-        let (count, sum) =
-            warm.fold((0.0, 0.0), |(n, sum), m| (n + 1.0, sum + self.rate(now, m) / m.listed.size));
-        let mean = if count > 0.0 { sum / count } else { self.warm_rate };
-        self.warm_rate += BEAT / self.terms.fall_span * (mean - self.warm_rate);
         self.rows.iter_mut().for_each(|row| row.may_return -= row.may_return * BEAT / WORTH);
         self.notice_silence(now, front);
-        self.poll(now, front);
         self.set_flow(now);
-        (0..self.groups.len()).for_each(|group| self.place_waiting(now, group, front));
+        self.turn = (self.turn + 1) % self.groups.len().max(1);
+        for group in 0..self.groups.len() {
+            if group == self.turn || !self.groups[group].waiting.is_empty() {
+                self.place_waiting(now, group, front);
+                self.poll(now, group, front);
+            }
+        }
         let (members, groups) = (&self.members, &self.groups);
         self.marks.retain(|_, (lsn, group)| groups[*group].members.iter().any(|m| members[*m].lsn < *lsn));
         front.wake(BEAT);
@@ -373,7 +315,8 @@
         for group in 0..self.groups.len() {
             let at = &self.groups[group];
             let replicas = at.members.iter().filter(|h| Some(**h) != at.pointer && self.usable(now, **h));
-            let lags: Vec<f64> = replicas.map(|h| self.members[*h].lag).collect();
+            let told = replicas.filter(|h| now - self.members[**h].heard_at < bound);
+            let lags: Vec<f64> = told.map(|h| self.members[*h].lag).collect();
             let behind = lags.iter().filter(|lag| **lag > bound / 2.0).count();
             let part = behind as f64 / lags.len().max(1) as f64;
             let at = &mut self.groups[group];
@@ -465,7 +408,7 @@
         let replicas = group.members.iter().copied().filter(|host| Some(*host) != pointer);
         let (mut fresh, stale): (Vec<usize>, Vec<usize>) =
             replicas.filter(|host| self.usable(now, *host)).partition(|host| {
-                self.members[*host].lsn >= needed && !(bounded && self.members[*host].turns_away)
+                self.stands(now, *host) >= needed && !(bounded && self.members[*host].turns_away)
             });
         // A primary under suspicion is tried with a read: a write that it swallowed could not be tried again.
         let mut trial = pointer.filter(|host| self.members[*host].suspicion.is_some());
@@ -473,10 +416,14 @@
         let long = self.rows[held.stmt.workload].typical > LONG * shortest;
         if long && self.terms_of(held).needs == Needs::Any {
             // Guards against long reads that stop the log: spread evenly, a few hold every replica back.
-            fresh.sort_by(|a, b| self.members[*a].lsn.total_cmp(&self.members[*b].lsn));
+            fresh.sort_by(|a, b| self.members[*b].lag.total_cmp(&self.members[*a].lag));
             fresh.truncate(fresh.len().div_ceil(2));
             trial = trial.or_else(|| fresh.iter().copied().find(|host| self.room(now, *host, held)));
         }
+        // A cold member whose lot has come is taken, as its share is counted by lots alone.
+        let cold =
+            |host: &&usize| self.part(now, &self.members[**host]) < 1.0 && self.room(now, **host, held);
+        trial = trial.or_else(|| fresh.iter().find(cold).copied());
         let found = trial.filter(|host| self.room(now, *host, held));
         if let Some(host) = found.or_else(|| self.fewest(now, &fresh, held)) {
             return Some(host);
@@ -488,29 +435,40 @@
         }
         // The last resort is the primary, of which writes keep their part.
         let waited = !fresh.is_empty() || self.terms.members_check_reads || now - held.arrived >= READ_WAIT;
-        let open = to_primary(self).map(|host| (host, &self.members[host]));
-        let spare =
-            |m: &Member| (m.in_flight as f64) < m.limit * READS_ON_PRIMARY && self.part(now, m) >= 1.0;
-        open.filter(|(_, m)| waited && spare(m)).map(|(host, _)| host)
+        to_primary(self).filter(|host| {
+            let m = &self.members[*host];
+            waited && m.holds(now, READS_ON_PRIMARY, self.odds(held.lot, *host)) && self.part(now, m) >= 1.0
+        })
     }
 
+    /// Of those with fewest executions in flight one is drawn by lot, weighted by size and by how quickly it
+    /// answers: where routers are many nearly all have none in flight, and the lot alone spreads the load.
     fn fewest(&self, now: f64, among: &[usize], held: &Held) -> Option<usize> {
         let open: Vec<usize> = among.iter().copied().filter(|host| self.room(now, *host, held)).collect();
-        let order = |host| {
-            let m: &Member = &self.members[host];
-            (m.in_flight, m.listed.site != self.terms.site, self.chance(host), host)
+        let least = open.iter().map(|host| self.members[*host].in_flight).min()?;
+        let lot = |host: &usize| {
+            let m = &self.members[*host];
+            let near = if m.listed.site == self.terms.site { 1.5 } else { 1.0 };
+            let weight = m.listed.size * near / m.load.max(0.1);
+            -(self.chance(*host)).ln() / weight
         };
-        open.into_iter().map(order).min().map(|(.., host)| host)
+        let tied = open.into_iter().filter(|host| self.members[*host].in_flight == least);
+        tied.min_by(|a, b| lot(a).total_cmp(&lot(b)))
     }
 
     fn terms_of(&self, held: &Held) -> &Workload {
         &self.rows[held.stmt.workload].terms
     }
 
-    fn chance(&self, host: usize) -> u64 {
+    fn chance(&self, host: usize) -> f64 {
+        self.odds(self.draws, host)
+    }
+
+    /// A lot from 0 to 1, the same for the same counter.
+    fn odds(&self, counter: u64, host: usize) -> f64 {
         let mut hasher = DefaultHasher::new();
-        (self.terms.seed, self.draws, host).hash(&mut hasher);
-        hasher.finish()
+        (self.terms.seed, counter, host).hash(&mut hasher);
+        hasher.finish() as f64 / u64::MAX as f64
     }
 
     /// The position a replica must have for this read, if sent at `now`.
@@ -523,13 +481,22 @@
         }
     }
 
+    /// The position taken for a member's. Where members check reads themselves, it is carried on from the last
+    /// word: one that fell behind since turns a read away, which costs less than asking it each time.
+    fn stands(&self, now: f64, host: usize) -> f64 {
+        let m = &self.members[host];
+        if self.terms.members_check_reads { now - m.lag } else { m.lsn }
+    }
+
     fn barred(&self, host: usize) -> bool {
         let m = &self.members[host];
         m.drained || m.listed.standing == Standing::Gone && !self.terms.only_draining_bars
     }
 
     fn usable(&self, now: f64, host: usize) -> bool {
-        !self.barred(host) && self.members[host].suspicion.is_none_or(|s| now >= s.trial_at && s.probe_ok)
+        let m = &self.members[host];
+        let heard = m.role.is_some() || !self.terms.may_probe;
+        heard && !self.barred(host) && m.suspicion.is_none_or(|s| now >= s.trial_at && s.probe_ok)
     }
 
     /// Whether a member may be given one more execution, by the rules first, then by its health and its load.
@@ -539,10 +506,9 @@
         let data = self.terms.members_check_reads
             || self.groups[m.listed.group].pointer == Some(host)
             || m.lsn >= self.needed(now, held);
-        let rules = data && self.effect_allows(now, host, held) && self.cold_allows(now, host, row.typical);
-        let swallows = |s: Suspicion| !s.lost && row.terms.effect != Effect::Idempotent;
-        let health = m.suspicion.is_none_or(|s| m.in_flight == 0 && !swallows(s));
-        rules && self.usable(now, host) && health && (m.in_flight as f64) < m.limit.floor()
+        let rules = data && self.effect_allows(now, host, held) && self.cold_allows(now, host, held);
+        let health = m.suspicion.is_none() || m.in_flight == 0 && row.terms.effect == Effect::Idempotent;
+        rules && self.usable(now, host) && health && m.holds(now, 1.0, self.odds(held.lot, host))
     }
 
     fn effect_allows(&self, now: f64, host: usize, held: &Held) -> bool {
@@ -556,16 +522,26 @@
         }
     }
 
-    /// Guards against pushing over a cold host: it gets its part of what warm members get, times the
-    /// multiple at which it falls, halved as a rate that decays over the span allows twice itself in one.
-    fn cold_allows(&self, now: f64, host: usize, work: f64) -> bool {
+    /// Guards against pushing over a cold host: of the statements that fall to it by its size, a lot lets
+    /// through its part times the multiple at which it falls, with a margin. However many routers there are,
+    /// and however rarely each sends, together they keep to it; none counts on the others.
+    fn cold_allows(&self, now: f64, host: usize, held: &Held) -> bool {
         let m = &self.members[host];
         let part = self.part(now, m);
         if part >= 1.0 {
             return true;
         }
-        let allowed = COLD * self.terms.fall_multiple / 2.0 * part * m.listed.size * self.warm_rate;
-        self.rate(now, m) + work / self.terms.fall_span <= allowed
+        let group = &self.groups[m.listed.group];
+        let size = |host: &usize| self.members[*host].listed.size;
+        let share = match self.terms_of(held).needs {
+            Needs::Primary | Needs::Fresh => 1.0,
+            _ => size(&host) / group.members.iter().map(size).sum::<f64>(),
+        };
+        // A group that is asked for more than others would have more fall to each of its members.
+        let asked = |group: &Group| group.reads + group.writes;
+        let mean = self.groups.iter().map(asked).sum::<f64>() / self.groups.len() as f64;
+        let hot = (asked(group) / mean).max(1.0);
+        self.odds(held.lot, host) < COLD * self.terms.fall_multiple / 2.0 * part * share / hot
     }
 
     /// The part of its capacity that a member has at least.
@@ -574,19 +550,13 @@
         self.terms.cold_part + (1.0 - self.terms.cold_part) * grown
     }
 
-    fn rate(&self, now: f64, m: &Member) -> f64 {
-        m.rate * (-(now - m.rate_at) / self.terms.fall_span).exp()
-    }
-
     /// Every execution passes here; what `room` has allowed is counted.
     fn execute(&mut self, now: f64, index: usize, host: usize, front: &mut impl Front) {
         let held = self.held[index];
         let row = &self.rows[held.stmt.workload];
-        let rate = self.rate(now, &self.members[host]) + row.typical / self.terms.fall_span;
         // A trial must leave time for a second execution elsewhere.
         let time_out = self.members[host].suspicion.map_or(0.0, |_| row.terms.slo_time / 2.0);
         let m = &mut self.members[host];
-        (m.rate, m.rate_at) = (rate, now);
         m.suspicion = m.suspicion.map(|s| Suspicion { trial_at: now + TRIAL, ..s });
         self.second_tries -= if held.ran.is_some() { 1.0 } else { 0.0 };
         self.held[index] = Held { executions: held.executions + 1, sent: now, ..held };
@@ -596,11 +566,12 @@
 
     /// Role and position from an answer, which speaks of now, or from a report, which speaks of its position.
     fn hear(&mut self, now: f64, host: usize, said: Report, answer: bool) {
+        let barred = self.barred(host);
         let m = &mut self.members[host];
         let lsn = said.lsn.filter(|lsn| *lsn <= now);
         if let Some(lsn) = lsn {
             m.lsn = m.lsn.max(lsn);
-            m.lag = now - m.lsn;
+            (m.lag, m.heard_at) = (now - m.lsn, now);
             m.turns_away &= answer;
         }
         let Some(role) = said.role else { return };
@@ -608,8 +579,8 @@
         let group = &mut self.groups[m.listed.group];
         if role == Role::Primary && at > m.denied_at {
             m.role = Some(role);
-            if group.pointer.is_none() || group.pointer == Some(host) || at > group.claim {
-                (group.pointer, group.claim) = (Some(host), at);
+            if !barred && (group.claimant == Some(host) || at > group.claim) {
+                (group.pointer, group.claimant, group.claim) = (Some(host), Some(host), at);
             }
         } else if role == Role::Replica && (answer || group.pointer != Some(host) || at > group.claim) {
             self.deny(at, host);
@@ -621,47 +592,57 @@
         let m = &mut self.members[host];
         m.role = Some(Role::Replica);
         m.denied_at = m.denied_at.max(at);
-        let pointer = &mut self.groups[m.listed.group].pointer;
+        self.unseat(host);
+    }
+
+    /// The member may have been lost as a primary; its next word on that is believed again.
+    fn unseat(&mut self, host: usize) {
+        let pointer = &mut self.groups[self.members[host].listed.group].pointer;
         *pointer = pointer.filter(|primary| *primary != host);
     }
 
     fn suspect(&mut self, now: f64, host: usize, lost: bool) {
-        let m = &mut self.members[host];
-        m.suspicion.get_or_insert(Suspicion { since: now, trial_at: now + TRIAL, lost, probe_ok: false });
-        self.deny(now, host);
+        let (trial_at, probe_ok) = (now + TRIAL, !self.terms.may_probe);
+        let new = Suspicion { trial_at, lost, dark: false, probe_ok };
+        self.members[host].suspicion.get_or_insert(new);
+        self.unseat(host);
     }
 
     /// What an execution's end tells of its member and its workload.
     fn learn(&mut self, now: f64, held: &Held, outcome: &Outcome) {
         let row = &mut self.rows[held.stmt.workload];
         let m = &mut self.members[outcome.host];
+        let weight = m.weight(now);
         let stalled = held.sent < self.awake_since;
+        // A second try that paid is not counted.
+        if outcome.ending == Ending::Completed && held.ran.is_some() {
+            self.second_tries += 1.0;
+        }
         let share = if stalled { m.load } else { outcome.took / row.terms.slo_time };
-        if matches!(outcome.ending, Ending::Completed | Ending::Miss | Ending::Error | Ending::Full) {
-            m.answered_at = now;
+        match outcome.ending {
+            Ending::Completed | Ending::Miss | Ending::Error | Ending::Full => {
+                (m.answered_at, m.missed) = (now, 0.0);
+            }
+            Ending::TimedOut | Ending::Cancelled => m.missed += 1.0,
+            _ => {}
         }
         match outcome.ending {
             Ending::Completed => {
                 row.typical += if stalled { 0.0 } else { LEARN_SLOWLY * (outcome.took - row.typical) };
-                if let Some(s) = m.suspicion.take() {
-                    // The list tells of a restart late: a host that was away may have come back cold.
-                    if s.lost || now - s.since > TRIAL {
-                        m.cold_since = Some(now);
-                    }
-                    m.limit = (m.limit / 2.0).max(1.0);
-                    m.load = EASY;
+                if m.suspicion.take().is_some() {
+                    (m.limit, m.load) = (m.limit / 2.0, EASY);
                 }
-                m.load += LEARN * (share - m.load);
+                m.load += weight * (share - m.load);
                 if m.load < EASY && m.in_flight as f64 >= m.limit - 1.0 {
-                    m.limit += 1.0 / m.limit;
+                    m.limit += (1.0 / m.limit).min(m.limit);
                 } else if m.load > TIGHT {
-                    m.limit = (m.limit * 0.95).max(1.0);
+                    m.limit *= 1.0 - weight / 2.0;
                 }
             }
             // Failing fast must not look like being idle.
             Ending::Error | Ending::Full | Ending::TimedOut | Ending::Cancelled => {
-                m.load += LEARN * (share.max(1.0) - m.load);
-                m.limit = (m.limit * 0.9).max(1.0);
+                m.load += weight * (share.max(1.0) - m.load);
+                m.limit *= 1.0 - weight;
             }
             Ending::ConnectFailed | Ending::Reset => self.suspect(now, outcome.host, true),
             Ending::NeverSent | Ending::Miss => {}
@@ -669,56 +650,67 @@
     }
 
     /// Guards against members that take statements and answer none: hung, cut off, paused or dead without a
-    /// reset. Silence is weighed by how many typical answer times have passed for all that is out there.
+    /// reset. Silence is weighed by how many typical answer times have passed for all that is out there, two
+    /// executions at least: one alone may be a lost answer.
     fn notice_silence(&mut self, now: f64, front: &mut impl Front) {
-        let mut silence = vec![0.0; self.members.len()];
+        let mut silence: BTreeMap<usize, (f64, f64)> = BTreeMap::new();
         for held in &self.held {
             if let Some(host) = held.state.out_at() {
                 let (m, row) = (&self.members[host], &self.rows[held.stmt.workload]);
                 let typical = row.typical.max(row.terms.slo_time * m.load);
-                silence[host] += (now - held.sent.max(m.answered_at).max(self.awake_since)) / typical;
+                let (sum, count) = silence.entry(host).or_insert((0.0, m.missed));
+                *sum += (now - held.sent.max(m.answered_at).max(self.awake_since)) / typical;
+                *count += 1.0;
             }
         }
-        let silent: Vec<usize> = (0..silence.len()).filter(|host| silence[*host] > SILENCE).collect();
+        silence.retain(|_, (sum, count)| *sum > SILENCE && *count > 1.0);
+        let silent: Vec<usize> = silence.into_keys().collect();
         // Where most members are silent at once, the judgement or the router's own link is at fault.
         if 2 * silent.len() <= self.members.len() {
             silent.into_iter().for_each(|host| self.suspect(now, host, false));
         }
+        self.recall(now, front);
+    }
+
+    /// Calls a read off a silent suspect at the last moment at which another member can still answer in time.
+    fn recall(&mut self, now: f64, front: &mut impl Front) {
         for index in 0..self.held.len() {
             let held = self.held[index];
-            if let State::Executing(host) = held.state {
-                let (row, m) = (&self.rows[held.stmt.workload], &self.members[host]);
-                let silent = m.suspicion.is_some() && m.answered_at < held.sent;
-                // The last moment at which another member can still answer in time; it may wake up before.
-                let last_moment = now >= held.start_by - row.typical && now < held.start_by;
-                let idempotent = row.terms.effect == Effect::Idempotent;
-                let may = self.terms.may_cancel && held.executions < self.terms.max_executions;
-                if silent && last_moment && idempotent && may && self.second_tries >= 1.0 {
-                    self.pass(index, State::Recalled(host));
-                    front.cancel(index, held.executions - 1);
-                }
+            let State::Executing(host) = held.state else { continue };
+            let (row, m) = (&self.rows[held.stmt.workload], &self.members[host]);
+            let silent = m.suspicion.is_some() && m.answered_at < held.sent;
+            let last_moment = now >= held.start_by - row.typical && now < held.start_by;
+            let may = self.terms.may_cancel && held.executions < self.terms.max_executions;
+            let again = row.terms.effect == Effect::Idempotent && self.second_tries >= 1.0;
+            if silent && last_moment && may && again {
+                self.pass(index, State::Recalled(host));
+                front.cancel(index, held.executions - 1);
             }
         }
     }
 
-    /// Probes each member of a polling group, and those whose next word decides something.
-    fn poll(&mut self, now: f64, front: &mut impl Front) {
-        for group in 0..self.groups.len() {
-            let (pointer, members) = (self.groups[group].pointer, self.groups[group].members.clone());
-            let heard = |m: &Member| m.role.is_some() && m.reports;
-            let ready = |host: &&usize| !self.barred(**host);
-            let polling =
-                pointer.is_none() || !members.iter().filter(ready).all(|h| heard(&self.members[*h]));
-            for host in members {
-                let barred = self.barred(host);
-                let m = &mut self.members[host];
-                let ages = self.bound.is_some_and(|bound| now - m.lsn > bound - 2.0 * POLL_SOON);
-                let soon = pointer.is_none() || m.suspicion.is_some() || ages && pointer != Some(host);
-                let due = now - m.probed_at >= if soon { POLL_SOON } else { POLL };
-                if self.terms.may_probe && (polling || soon) && due && !m.probe_out && !barred {
-                    (m.probe_out, m.probed_at) = (true, now);
-                    front.probe(host);
-                }
+    /// Probes the members of a polling group, and those whose next word decides something, as far as
+    /// statements pay for it: where routers are many, probes would outnumber statements. What a waiting
+    /// statement needs to be known is asked at once.
+    fn poll(&mut self, now: f64, group: usize, front: &mut impl Front) {
+        let at = &self.groups[group];
+        let (pointer, waits) = (at.pointer, !at.waiting.is_empty());
+        let mut members: Vec<usize> = at.members.iter().copied().filter(|h| !self.barred(*h)).collect();
+        members.sort_by(|a, b| self.members[*a].probed_at.total_cmp(&self.members[*b].probed_at));
+        let polling = pointer.is_none()
+            || members.iter().map(|h| &self.members[*h]).any(|m| m.role.is_none() || !m.reports);
+        let bound = self.bound.filter(|_| !self.terms.members_check_reads).unwrap_or(f64::INFINITY);
+        for host in members {
+            let m = &mut self.members[host];
+            let ages = pointer != Some(host) && now - m.lsn > bound - 2.0 * POLL_SOON;
+            let decides = pointer.is_none() || m.role.is_none() || m.suspicion.is_some() || m.turns_away;
+            let period = if decides || ages { POLL_SOON } else { POLL };
+            let due = now - m.probed_at >= period || waits && m.role.is_none();
+            let paid = waits && decides || self.probes >= 1.0;
+            if self.terms.may_probe && (polling || decides || ages) && due && paid && !m.probe_out {
+                (m.probe_out, m.probed_at) = (true, now);
+                self.probes = (self.probes - 1.0).max(0.0);
+                front.probe(host);
             }
         }
     }
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -2,5 +2,6 @@
 
 mod decide;
 pub mod interface;
+mod state;
 
 pub use decide::Router;
--- /dev/null
+++ b/crates/core/src/state.rs
@@ -0,0 +1,108 @@
+//! What a [`Router`](crate::Router) keeps of its statements, members, groups and workloads. Nothing here
+//! decides.
+
+use crate::interface::{Listed, Role, Statement, Workload};
+
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum State {
+    Vacant,
+    Waiting,
+    Executing(usize),
+    /// Called off, the outcome still to come.
+    Recalled(usize),
+    /// Has its final answer, or its client left, while an execution is still out.
+    Abandoned(usize),
+}
+
+impl State {
+    pub fn out_at(self) -> Option<usize> {
+        match self {
+            State::Executing(host) | State::Recalled(host) | State::Abandoned(host) => Some(host),
+            State::Vacant | State::Waiting => None,
+        }
+    }
+}
+
+#[derive(Clone, Copy, Debug)]
+pub struct Held {
+    pub state: State,
+    pub stmt: Statement,
+    pub arrived: f64,
+    /// From here on an execution would earn nothing.
+    pub start_by: f64,
+    /// The position a member needs, for session reads.
+    pub mark: f64,
+    pub rank: f64,
+    /// The counter of its own lots.
+    pub lot: u64,
+    /// Its importance, if this is the client's first try as far as can be told.
+    pub worth: f64,
+    pub executions: u32,
+    pub sent: f64,
+    /// When and where an execution was first sent that may have run.
+    pub ran: Option<(f64, usize)>,
+}
+
+#[derive(Clone, Copy, Debug)]
+pub struct Suspicion {
+    pub trial_at: f64,
+    /// Connections fail, rather than answers.
+    pub lost: bool,
+    /// A probe was not answered since: the process is away, and comes back cold.
+    pub dark: bool,
+    pub probe_ok: bool,
+}
+
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Member {
+    pub listed: Listed,
+    pub drained: bool,
+    pub cold_since: Option<f64>,
+    pub role: Option<Role>,
+    /// Claims of being primary that are not newer than this are disregarded.
+    pub denied_at: f64,
+    pub lsn: f64,
+    /// How far that position lay back when it was heard of, and when that was.
+    pub lag: f64,
+    pub heard_at: f64,
+    /// It turned a read away, and has not told its position since.
+    pub turns_away: bool,
+    pub reports: bool,
+    pub probe_out: bool,
+    pub probed_at: f64,
+    /// When an execution last came back from it; probes are answered beside the queue and prove less.
+    pub answered_at: f64,
+    /// Executions that ended without an answer since.
+    pub missed: f64,
+    pub in_flight: usize,
+    pub limit: f64,
+    /// Mean time of answers as a part of their SLO time.
+    pub load: f64,
+    pub suspicion: Option<Suspicion>,
+}
+
+#[derive(Clone, Debug, Default)]
+pub struct Group {
+    pub members: Vec<usize>,
+    pub pointer: Option<usize>,
+    /// Who was last believed to be primary, by word of when.
+    pub claimant: Option<usize>,
+    pub claim: f64,
+    pub held_back: f64,
+    /// Importance, of late, of the bounded reads given up, of all of them, and of the writes.
+    pub reads_lost: f64,
+    pub reads: f64,
+    pub writes: f64,
+    /// Highest rank first, then newest, as the oldest would come late; sends, rejections, hangups empty it.
+    pub waiting: Vec<usize>,
+}
+
+/// What differs by workload and is learnt.
+#[derive(Clone, Debug)]
+pub struct Row {
+    pub terms: Workload,
+    pub typical: f64,
+    /// The time most clients give a first try, and by how many votes it leads.
+    pub usual: (f64, i32),
+    pub may_return: f64,
+}
--- a/crates/core/tests/decisions.rs
+++ b/crates/core/tests/decisions.rs
@@ -324,3 +324,82 @@
     let sent = (0..500).map(|stmt| world.sent_to(stmt).len()).sum::<usize>();
     assert!((5..100).contains(&sent), "{sent}");
 }
+
+/// Found at full size: hundreds of routers probed each host every second, seven probes for each statement.
+#[rstest]
+#[case::nothing_asked(0, 4)]
+#[case::some_reads(20, 9)]
+fn probes_follow_statements(#[case] reads: usize, #[case] most: usize) {
+    let mut world = World::new(Terms { reports: Reports::WithProbes, ..terms(true) });
+    for round in 0..500 {
+        world.pass(0.02);
+        let probed: Vec<usize> = (0..4).filter(|host| world.count(Done::Probe(*host)) > 0).collect();
+        probed
+            .into_iter()
+            .for_each(|host| world.report(host, if host == 0 { Primary } else { Replica }, 0.0));
+        if reads > 0 && round % (500 / reads) == 0 {
+            let read = world.ask(READ);
+            world.sent_to(read).into_iter().for_each(|host| world.end(read, host, Ending::Completed, None));
+        }
+    }
+    let probes = (0..4).map(|host| world.count(Done::Probe(host))).sum::<usize>();
+    assert!((4..=most).contains(&probes), "{probes}");
+}
+
+/// Found at full size: a connect that failed, or an answer that was lost, was taken for a restart, and the
+/// member was eased in as cold. Only a probe that is not answered tells of an absence.
+#[rstest]
+#[case::refused_under_a_cap(Ending::ConnectFailed, Ending::Completed, true)]
+#[case::answer_reset(Ending::Reset, Ending::Full, true)]
+#[case::away(Ending::ConnectFailed, Ending::TimedOut, false)]
+fn only_absence_makes_a_member_cold(#[case] ending: Ending, #[case] probe: Ending, #[case] warm: bool) {
+    let mut world = World::settled(true, [0.0, 9.0, 9.0]);
+    let read = world.ask(READ);
+    world.end(read, 1, ending, None);
+    world.router.probed(world.now, 1, probe, Report::default(), &mut world.book);
+    world.report(1, Replica, 0.0);
+    let sent = (0..40).filter(|_| {
+        let read = world.ask(READ);
+        let there = world.sent_to(read) == [1];
+        world.sent_to(read).into_iter().for_each(|host| world.end(read, host, Ending::Completed, None));
+        there
+    });
+    assert_eq!(sent.count() > 30, warm);
+}
+
+/// Found at full size: one lost answer made a member a suspect, though it answered everything else.
+#[rstest]
+#[case::one_lost(1, true)]
+#[case::all_silent(3, false)]
+fn one_lost_answer_is_no_silence(#[case] lost: usize, #[case] trusted: bool) {
+    let mut world = World::settled(true, [0.0, 9.0, 9.0]);
+    (0..lost).for_each(|_| assert_eq!([1], *world.ask_and_place(READ)));
+    world.pass(0.5);
+    assert_eq!(world.ask_and_place(READ) == [1], trusted);
+}
+
+/// Found at full size: a limit of one at each of hundreds of routers is hundreds for a host. And with a list
+/// that names hosts which do not exist: a member never heard of gets nothing.
+#[rstest]
+#[case::always_full(Some(Ending::Full), 2..30)]
+#[case::quick(Some(Ending::Completed), 40..41)]
+#[case::never_heard(None, 0..1)]
+fn a_host_gets_what_it_can_take(#[case] ending: Option<Ending>, #[case] expected: std::ops::Range<usize>) {
+    let mut world = World::new(Terms { routers: 200, ..terms(true) });
+    if ending.is_some() {
+        world.report(1, Replica, 0.0);
+    }
+    let mut sent = 0;
+    for _ in 0..40 {
+        let read = world.ask_with(READ, 0.1);
+        let mut ended = 0;
+        while let (Some(ending), true) = (ending, ended < world.sent_to(read).len()) {
+            world.end(read, 1, ending, None);
+            ended += 1;
+        }
+        sent += ended;
+        world.router.hangup(read);
+        world.pass(0.5);
+    }
+    assert!(expected.contains(&sent), "{sent}");
+}
