Measure a cold host's share by the members that are there; a cold primary takes twice its part of the writes

The lot of the limit excluded the lot of the cold share besides: a cold member with a limit below one got nothing.

--- a/crates/core/src/decide.rs
+++ b/crates/core/src/decide.rs
@@ -55,7 +55,7 @@
 /// Time after which what was learnt of a member counts half.
 const FADE: f64 = 1.0;
 /// Time after which a member that took nothing is tried again.
-const FORGET: f64 = 10.0;
+const FORGET: f64 = 15.0;
 
 pub struct Router {
     terms: Terms,
@@ -92,7 +92,7 @@
     /// have one out: the fraction of a limit goes by lot. A bad word fades, or nothing better would be heard.
     fn holds(&self, now: f64, part: f64, odds: f64) -> bool {
         let limit = self.limit.max(((now - self.answered_at) / FORGET).min(1.0));
-        (self.in_flight + 1) as f64 <= limit * part + odds
+        (self.in_flight as f64) + odds < limit * part
     }
 }
 
@@ -533,9 +533,12 @@
         }
         let group = &self.groups[m.listed.group];
         let size = |host: &usize| self.members[*host].listed.size;
+        let all: f64 = group.members.iter().map(size).sum();
+        let there: f64 = group.members.iter().filter(|host| self.usable(now, **host)).map(size).sum();
         let share = match self.terms_of(held).needs {
-            Needs::Primary | Needs::Fresh => 1.0,
-            _ => size(&host) / group.members.iter().map(size).sum::<f64>(),
+            // All of them fall to the primary, but they are far from all of its work, and reads keep off it.
+            Needs::Primary | Needs::Fresh => 2.0,
+            _ => size(&host) / there.max(all / 2.0),
         };
         // A group that is asked for more than others would have more fall to each of its members.
         let asked = |group: &Group| group.reads + group.writes;
