Have all routers meet on the same replica with long reads; weigh slow members by the square

Evidence by host: positions of nearly all replicas stood 4 to 6 s back, each held some season-reports, and 8181 of 17000 lookups were missed; unaffected groups lost a third of their answers without lagging. So the hosts that turned reads away were not the cause: long reads from hundreds of routers that each knew another replica as the one furthest behind. Change: long any-reads go to replicas that are stale already, then by an opaque number that is the same at every router. The lot among those with fewest in flight counts answer time squared.

--- a/crates/core/src/decide.rs
+++ b/crates/core/src/decide.rs
@@ -415,8 +415,11 @@
         let shortest = self.rows.iter().map(|row| row.typical).fold(f64::INFINITY, f64::min);
         let long = self.rows[held.stmt.workload].typical > LONG * shortest;
         if long && self.terms_of(held).needs == Needs::Any {
-            // Guards against long reads that stop the log: spread evenly, a few hold every replica back.
-            fresh.sort_by(|a, b| self.members[*b].lag.total_cmp(&self.members[*a].lag));
+            // Guards against long reads that stop the log: spread evenly, a few hold every replica back. All
+            // routers rank the members alike, so that hundreds meet on the same one without a word.
+            let bound = self.bound.unwrap_or(f64::INFINITY);
+            let rank = |host: &usize| (self.members[*host].lag <= bound, self.members[*host].listed.order);
+            fresh.sort_by_key(rank);
             fresh.truncate(fresh.len().div_ceil(2));
             trial = trial.or_else(|| fresh.iter().copied().find(|host| self.room(now, *host, held)));
         }
@@ -449,7 +452,7 @@
         let lot = |host: &usize| {
             let m = &self.members[*host];
             let near = if m.listed.site == self.terms.site { 1.5 } else { 1.0 };
-            let weight = m.listed.size * near / m.load.max(0.1);
+            let weight = m.listed.size * near / m.load.max(0.1).powi(2);
             -(self.chance(*host)).ln() / weight
         };
         let tied = open.into_iter().filter(|host| self.members[*host].in_flight == least);
--- a/crates/core/src/interface.rs
+++ b/crates/core/src/interface.rs
@@ -176,6 +176,8 @@
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Listed {
     pub host: usize,
+    /// An opaque number, the same for a host at every router, as the indices are not.
+    pub order: u64,
     pub group: usize,
     pub site: Option<usize>,
     pub size: f64,
--- a/crates/core/tests/common/mod.rs
+++ b/crates/core/tests/common/mod.rs
@@ -106,7 +106,8 @@
     }
 
     pub fn list(&mut self, host: usize, standing: Standing, started_at: Option<f64>) {
-        let listed = Listed { host, group: 0, site: Some(0), size: 1.0, standing, started_at };
+        let order = [3, 1, 0, 2][host];
+        let listed = Listed { host, order, group: 0, site: Some(0), size: 1.0, standing, started_at };
         self.router.hosts(self.now, &[listed], &mut self.book);
     }
 
--- a/crates/drill/src/desk.rs
+++ b/crates/drill/src/desk.rs
@@ -1,6 +1,7 @@
 //! One instance: its router, and the desk that keeps names and writes what the router asks for.
 
 use std::collections::HashMap;
+use std::hash::{DefaultHasher, Hash, Hasher};
 use std::io::Write;
 use std::mem;
 
@@ -180,8 +181,11 @@
             said => return Err(format!("state: expected 0, 2 or 3, found {said}")),
         };
         let host = self.host_index.get(&entry.host).copied().unwrap_or(self.hosts.len());
+        let mut order = DefaultHasher::new();
+        entry.host.hash(&mut order);
         let listed = Listed {
             host,
+            order: order.finish(),
             group: self.group(entry.set),
             site: self.names.sites.iter().position(|site| *site == entry.site),
             size: entry.power_hint,
