--- a/crates/core/src/decide.rs
+++ b/crates/core/src/decide.rs
@@ -30,12 +30,10 @@
 const READS_ON_PRIMARY: f64 = 0.5;
 /// Silence, in typical answer times summed over what is out, that chance hardly explains (e^-7: 1 in 1000).
 const SILENCE: f64 = 7.0;
-/// Time between trials of a suspect.
+/// Time between trials of a suspect, and after which what was learnt of a member counts half.
 const TRIAL: f64 = 1.0;
 /// Margin for the chance in what a cold host is sent.
 const COLD: f64 = 0.8;
-/// First tries differ by less, from the ticks that they travel through.
-const USUAL: f64 = 0.02;
 /// Typical answer times that an execution needs to be likely in time.
 const ENOUGH: f64 = 1.4;
 /// What can be placed at once is worth a try with this many left.
@@ -49,13 +47,12 @@
 /// Change a beat of the part of writes held back, and seconds over which it is weighed against reads.
 const FLOW: f64 = 0.02;
 const WORTH: f64 = 5.0;
-/// Weight of the newest answer in what is learnt of a member, and of a workload.
+/// Weight of the newest answer in what is learnt of a member; a fifth of it in what is learnt of a workload.
 const LEARN: f64 = 0.1;
-const LEARN_SLOWLY: f64 = 0.02;
-/// Time after which what was learnt of a member counts half.
-const FADE: f64 = 1.0;
 /// Time after which a member that took nothing is tried again.
 const FORGET: f64 = 15.0;
+/// What a group that was closed to some reads opens in a second; a sixth of its answers may come late.
+const REOPEN: f64 = 0.1;
 
 pub struct Router {
     terms: Terms,
@@ -85,7 +82,7 @@
     /// Weight of one answer: what was learnt fades, and a router that hears rarely has little else to go by.
     fn weight(&self, now: f64) -> f64 {
         let since = now - self.answered_at;
-        (since / (since + FADE)).clamp(LEARN, 0.5)
+        (since / (since + TRIAL)).clamp(LEARN, 0.5)
     }
 
     /// Whether one more execution is within a part of the limit. Guards against hundreds of routers that each
@@ -127,18 +124,18 @@
 
     pub fn statement(&mut self, now: f64, index: usize, stmt: Statement, front: &mut impl Front) {
         let row = &mut self.rows[stmt.workload];
-        // A client gives each first try the same time, and a later one what is left of its patience.
+        // A client gives each first try the same time to a tick, a later one what is left of its patience.
         let (usual, votes) = row.usual;
         if !stmt.repeat {
-            let vote = if (stmt.time_left - usual).abs() < USUAL { 1 } else { -1 };
+            let vote = if (stmt.time_left - usual).abs() < BEAT { 1 } else { -1 };
             row.usual = if votes + vote < 0 { (stmt.time_left, 1) } else { (usual, votes + vote) };
         }
-        let later = (stmt.time_left - row.usual.0).abs() >= USUAL;
+        let later = (stmt.time_left - row.usual.0).abs() >= BEAT;
         // Unmarked, another time than the usual tells of a later try only as far as tries have failed here.
         let returned = stmt.repeat || later && row.may_return >= 1.0;
-        let late = later && returned;
-        row.may_return -= if late { row.may_return.min(1.0) } else { 0.0 };
-        let passed = if late { (row.terms.statement_timeout - stmt.time_left).max(0.0) } else { 0.0 };
+        let late = f64::from(later && returned);
+        row.may_return -= late * row.may_return.min(1.0);
+        let passed = late * (row.terms.statement_timeout - stmt.time_left).max(0.0);
         let worth = if returned { 0.0 } else { row.terms.importance };
         let slo_left = if row.terms.late_share > 0.0 { f64::INFINITY } else { row.terms.slo_time - passed };
         let left = stmt.time_left.min(slo_left);
@@ -155,8 +152,7 @@
             (true, Some(session), _) => self.marks.get(&session).map_or(0.0, |mark| mark.0),
             (_, _, since) => since.map_or(0.0, |since| now - since),
         };
-        let (state, arrived, sent, executions, ran) = (State::Vacant, now, now, 0, None);
-        let lot = self.draws;
+        let (state, arrived, sent, executions, ran, lot) = (State::Vacant, now, now, 0, None, self.draws);
         let held = Held { state, stmt, arrived, start_by, mark, rank, lot, worth, executions, sent, ran };
         self.group(stmt.group);
         self.held.resize(self.held.len().max(index + 1), held);
@@ -169,7 +165,7 @@
         group.reads += if let Needs::Bounded(_) = needs { worth } else { 0.0 };
         group.writes += if needs == Needs::Primary { worth } else { 0.0 };
         let held_back = group.held_back;
-        if needs == Needs::Primary && self.chance(index) < held_back {
+        if needs == Needs::Primary && self.odds(self.draws, index) < held_back {
             return self.give_up(now, index, front);
         }
         self.place(now, index, front);
@@ -219,7 +215,7 @@
 
     /// A probe's end, and what the member reported if it did.
     pub fn probed(&mut self, now: f64, host: usize, ending: Ending, report: Report, front: &mut impl Front) {
-        let lot = self.chance(host);
+        let lot = self.odds(self.draws, host);
         let m = &mut self.members[host];
         m.probe_out = false;
         let silent = matches!(ending, Ending::TimedOut | Ending::ConnectFailed | Ending::Reset);
@@ -252,9 +248,8 @@
         for listed in list {
             if listed.host == self.members.len() {
                 // Spread over a second, unless a statement waits: all routers may start at once.
-                let probed_at = now - POLL * self.chance(listed.host);
-                let new = Member { probed_at, load: EASY, limit: first_limit, ..Member::default() };
-                self.members.push(new);
+                let probed_at = now - POLL * self.odds(self.draws, listed.host);
+                self.members.push(Member { probed_at, load: EASY, limit: first_limit, ..Member::default() });
                 self.probes += 1.0;
                 self.group(listed.group).members.push(listed.host);
             }
@@ -273,7 +268,7 @@
     }
 
     fn group(&mut self, group: usize) -> &mut Group {
-        self.groups.resize(self.groups.len().max(group + 1), Group::default());
+        self.groups.resize(self.groups.len().max(group + 1), Group { open: 1.0, ..Group::default() });
         &mut self.groups[group]
     }
 
@@ -315,10 +310,9 @@
         for group in 0..self.groups.len() {
             let at = &self.groups[group];
             let replicas = at.members.iter().filter(|h| Some(**h) != at.pointer && self.usable(now, **h));
-            let told = replicas.filter(|h| now - self.members[**h].heard_at < bound);
-            let lags: Vec<f64> = told.map(|h| self.members[*h].lag).collect();
-            let behind = lags.iter().filter(|lag| **lag > bound / 2.0).count();
-            let part = behind as f64 / lags.len().max(1) as f64;
+            let lags: Vec<f64> = replicas.map(|h| self.members[*h].lag).collect();
+            let part =
+                lags.iter().filter(|lag| **lag > bound / 2.0).count() as f64 / lags.len().max(1) as f64;
             let at = &mut self.groups[group];
             let hold = part * at.reads > at.writes && part * at.reads_lost > at.writes * at.held_back;
             at.held_back = (at.held_back + if hold { FLOW } else { -FLOW / 2.0 }).clamp(0.0, 0.95);
@@ -327,8 +321,7 @@
         }
     }
 
-    /// Guards against stalls of this router itself: a late beat tells of it, and what was not heard
-    /// meanwhile tells nothing of the members.
+    /// Guards against stalls of this router itself: what was not heard meanwhile tells nothing of members.
     fn wake_up(&mut self, now: f64) {
         if now - self.called_at > 5.0 * BEAT {
             self.awake_since = now;
@@ -418,8 +411,7 @@
             // Guards against long reads that stop the log: spread evenly, a few hold every replica back. All
             // routers rank the members alike, so that hundreds meet on the same one without a word.
             let bound = self.bound.unwrap_or(f64::INFINITY);
-            let rank = |host: &usize| (self.members[*host].lag <= bound, self.members[*host].listed.order);
-            fresh.sort_by_key(rank);
+            fresh.sort_by_key(|host| (self.members[*host].lag <= bound, self.members[*host].listed.order));
             fresh.truncate(fresh.len().div_ceil(2));
             trial = trial.or_else(|| fresh.iter().copied().find(|host| self.room(now, *host, held)));
         }
@@ -453,7 +445,7 @@
             let m = &self.members[*host];
             let near = if m.listed.site == self.terms.site { 1.5 } else { 1.0 };
             let weight = m.listed.size * near / m.load.max(0.1).powi(2);
-            -(self.chance(*host)).ln() / weight
+            -(self.odds(self.draws, *host)).ln() / weight
         };
         let tied = open.into_iter().filter(|host| self.members[*host].in_flight == least);
         tied.min_by(|a, b| lot(a).total_cmp(&lot(b)))
@@ -463,10 +455,6 @@
         &self.rows[held.stmt.workload].terms
     }
 
-    fn chance(&self, host: usize) -> f64 {
-        self.odds(self.draws, host)
-    }
-
     /// A lot from 0 to 1, the same for the same counter.
     fn odds(&self, counter: u64, host: usize) -> f64 {
         let mut hasher = DefaultHasher::new();
@@ -484,8 +472,8 @@
         }
     }
 
-    /// The position taken for a member's. Where members check reads themselves, it is carried on from the last
-    /// word: one that fell behind since turns a read away, which costs less than asking it each time.
+    /// The position taken for a member's. Where members check reads, it is carried on from the last word:
+    /// one that fell behind since turns a read away, which costs less than asking it each time.
     fn stands(&self, now: f64, host: usize) -> f64 {
         let m = &self.members[host];
         if self.terms.members_check_reads { now - m.lag } else { m.lsn }
@@ -511,7 +499,10 @@
             || m.lsn >= self.needed(now, held);
         let rules = data && self.effect_allows(now, host, held) && self.cold_allows(now, host, held);
         let health = m.suspicion.is_none() || m.in_flight == 0 && row.terms.effect == Effect::Idempotent;
-        rules && self.usable(now, host) && health && m.holds(now, 1.0, self.odds(held.lot, host))
+        let group = &self.groups[held.stmt.group];
+        let often = row.terms.effect != Effect::Idempotent || now - group.answered_at < TRIAL / 5.0;
+        let open = often || self.odds(held.lot, usize::MAX) < group.open;
+        open && rules && self.usable(now, host) && health && m.holds(now, 1.0, self.odds(held.lot, host))
     }
 
     fn effect_allows(&self, now: f64, host: usize, held: &Held) -> bool {
@@ -539,7 +530,7 @@
         let all: f64 = group.members.iter().map(size).sum();
         let there: f64 = group.members.iter().filter(|host| self.usable(now, **host)).map(size).sum();
         let share = match self.terms_of(held).needs {
-            // All of them fall to the primary, but they are far from all of its work, and reads keep off it.
+            // All fall to the primary, but are far from all of its work, and reads keep off it.
             Needs::Primary | Needs::Fresh => 2.0,
             _ => size(&host) / there.max(all / 2.0),
         };
@@ -577,7 +568,7 @@
         let lsn = said.lsn.filter(|lsn| *lsn <= now);
         if let Some(lsn) = lsn {
             m.lsn = m.lsn.max(lsn);
-            (m.lag, m.heard_at) = (now - m.lsn, now);
+            m.lag = now - m.lsn;
             m.turns_away &= answer;
         }
         let Some(role) = said.role else { return };
@@ -619,11 +610,19 @@
         let row = &mut self.rows[held.stmt.workload];
         let m = &mut self.members[outcome.host];
         let weight = m.weight(now);
+        let group = &mut self.groups[m.listed.group];
+        let since = (now - group.answered_at).min(TRIAL);
+        // Guards against crowds that no router sees by itself; a lost answer tells of none.
+        if matches!(outcome.ending, Ending::Completed | Ending::Full) {
+            let late = outcome.ending == Ending::Full || outcome.took > row.terms.slo_time;
+            let step = if late { -group.open / 2.0 } else { REOPEN };
+            group.open = (group.open + since * step).clamp(REOPEN / 2.0, 1.0);
+        }
+        group.answered_at = now;
         let stalled = held.sent < self.awake_since;
         // A second try that paid is not counted.
-        if outcome.ending == Ending::Completed && held.ran.is_some() {
-            self.second_tries += 1.0;
-        }
+        let paid = outcome.ending == Ending::Completed && held.ran.is_some();
+        self.second_tries += if paid { 1.0 } else { 0.0 };
         let share = if stalled { m.load } else { outcome.took / row.terms.slo_time };
         match outcome.ending {
             Ending::Completed | Ending::Miss | Ending::Error | Ending::Full => {
@@ -634,7 +633,7 @@
         }
         match outcome.ending {
             Ending::Completed => {
-                row.typical += if stalled { 0.0 } else { LEARN_SLOWLY * (outcome.took - row.typical) };
+                row.typical += if stalled { 0.0 } else { LEARN / 5.0 * (outcome.took - row.typical) };
                 if m.suspicion.take().is_some() {
                     (m.limit, m.load) = (m.limit / 2.0, EASY);
                 }
@@ -678,7 +677,7 @@
         self.recall(now, front);
     }
 
-    /// Calls a read off a silent suspect at the last moment at which another member can still answer in time.
+    /// Calls a read off a silent suspect at the last moment at which another can still answer in time.
     fn recall(&mut self, now: f64, front: &mut impl Front) {
         for index in 0..self.held.len() {
             let held = self.held[index];
--- a/crates/core/src/state.rs
+++ b/crates/core/src/state.rs
@@ -62,9 +62,8 @@
     /// Claims of being primary that are not newer than this are disregarded.
     pub denied_at: f64,
     pub lsn: f64,
-    /// How far that position lay back when it was heard of, and when that was.
+    /// How far that position lay back when it was heard of.
     pub lag: f64,
-    pub heard_at: f64,
     /// It turned a read away, and has not told its position since.
     pub turns_away: bool,
     pub reports: bool,
@@ -89,6 +88,9 @@
     pub claimant: Option<usize>,
     pub claim: f64,
     pub held_back: f64,
+    /// The part of reads let through, by how many come late, and when an answer last came.
+    pub open: f64,
+    pub answered_at: f64,
     /// Importance, of late, of the bounded reads given up, of all of them, and of the writes.
     pub reads_lost: f64,
     pub reads: f64,
