Make no suspect of a member that answered lately when a connection to it fails

It should also hold against single lost answers that come as resets. It could harm for half a second after a real crash: those executions fail at once and go elsewhere.

--- a/crates/core/src/decide.rs
+++ b/crates/core/src/decide.rs
@@ -95,12 +95,8 @@
 
 impl Router {
     pub fn start(now: f64, terms: Terms, front: &mut impl Front) -> Router {
-        let row = |w: &Workload| Row {
-            terms: w.clone(),
-            typical: w.slo_time / 6.0,
-            usual: (0.0, 0),
-            may_return: 0.0,
-        };
+        let usual = (0.0, 0);
+        let row = |w: &Workload| Row { terms: w.clone(), typical: w.slo_time / 6.0, usual, may_return: 0.0 };
         let router = Router {
             rows: terms.workloads.iter().map(row).collect(),
             shares: vec![(0.0, now); terms.tenant_rates.len()],
@@ -189,7 +185,8 @@
             self.hear(now, host, report, false);
         }
         // A primary that has answered others since is not lost: that time-out tells of load.
-        let lost = ending == Ending::TimedOut && self.members[host].answered_at < held.sent;
+        let lost = ending == Ending::TimedOut && self.members[host].answered_at < held.sent
+            || matches!(ending, Ending::ConnectFailed | Ending::Reset);
         if ending == Ending::Miss && needs == Needs::Primary {
             self.deny(now, host);
         } else if lost {
@@ -649,8 +646,11 @@
                 m.load += weight * (share.max(1.0) - m.load);
                 m.limit *= 1.0 - weight;
             }
-            Ending::ConnectFailed | Ending::Reset => self.suspect(now, outcome.host, true),
-            Ending::NeverSent | Ending::Miss => {}
+            // Under a cap on connections some fail at a member that answers others.
+            Ending::ConnectFailed | Ending::Reset if now - m.answered_at > TRIAL / 2.0 => {
+                self.suspect(now, outcome.host, true)
+            }
+            _ => {}
         }
     }
 
@@ -677,7 +677,7 @@
         self.recall(now, front);
     }
 
-    /// Calls a read off a silent suspect at the last moment at which another can still answer in time.
+    /// Calls a read off a silent suspect at the last moment at which another can answer in time.
     fn recall(&mut self, now: f64, front: &mut impl Front) {
         for index in 0..self.held.len() {
             let held = self.held[index];
--- a/crates/core/tests/decisions.rs
+++ b/crates/core/tests/decisions.rs
@@ -403,3 +403,17 @@
     }
     assert!(expected.contains(&sent), "{sent}");
 }
+
+/// Found with squeezed connections: one that was refused made a suspect of a member that answers others.
+#[rstest]
+#[case::answered_lately(0.1, true)]
+#[case::answered_long_ago(2.0, false)]
+fn a_refused_connection_weighs_little_against_an_answer(#[case] since: f64, #[case] trusted: bool) {
+    let mut world = World::settled(true, [0.0, 9.0, 9.0]);
+    for (wait, ending) in [(since, Ending::Completed), (0.0, Ending::ConnectFailed)] {
+        let read = world.ask(READ);
+        world.end(read, 1, ending, None);
+        world.now += wait;
+    }
+    assert_eq!(world.ask_and_place(READ) == [1], trusted);
+}
