--- a/crates/core/src/interface.rs
+++ b/crates/core/src/interface.rs
@@ -2,8 +2,8 @@
 //!
 //! All times are seconds. `now` is any clock that never goes back; a log position (`lsn`) is the time on that
 //! same clock up to which a member holds every commit. Hosts, groups, workloads, sites, tenants and
-//! statements are small indices that the front hands out; a statement's index is free again once the statement has its
-//! final answer and no execution of it is out.
+//! statements are small indices that the front hands out; a statement's index is free again once the statement
+//! has its final answer and no execution of it is out.
 
 /// How often a statement may take effect.
 #[derive(Clone, Copy, Debug, PartialEq)]
