--- /dev/null
+++ b/crates/core/src/facade.rs
@@ -0,0 +1,253 @@
+//! The module in blocking style, for network code: [`Facade::pick`], [`Facade::report`], [`Facade::tick`].
+//! Nothing here decides; it keeps what the [`Router`] asked for until it is picked up.
+//!
+//! One loop can't block in `pick`, so it answers [`Choice::Wait`] instead, and what waits is picked again once
+//! [`Facade::tick`] names it. After each `pick` and `report` call `tick` until it names nothing.
+
+use std::collections::VecDeque;
+
+use crate::Router;
+use crate::interface::{Ending, Front, Listed, Outcome, Report, Statement, Terms};
+
+pub enum Ask {
+    /// A statement that was just taken in.
+    New(Statement),
+    /// One that `tick` has named.
+    Again(usize),
+}
+
+/// What to do now for a statement.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Choice {
+    /// Send it to that host; `time_out` of 0 leaves it out until its client gives up.
+    Execute {
+        host: usize,
+        time_out: f64,
+    },
+    Wait,
+    /// Final: nothing ran, trying again in that many seconds is harmless.
+    Reject {
+        retry_after: f64,
+    },
+    /// Final, and promises nothing.
+    Abort,
+}
+
+/// What was learnt.
+pub enum News<'a> {
+    Execution {
+        stmt: usize,
+        host: usize,
+        ending: Ending,
+        took: f64,
+        note: Report,
+        report: Option<Report>,
+    },
+    Probe {
+        host: usize,
+        ending: Ending,
+        report: Report,
+    },
+    List(&'a [Listed]),
+    ListFailed,
+    /// The client left before its answer.
+    ClientGone(usize),
+}
+
+/// What is due.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Due {
+    Pick(usize),
+    /// Stop waiting for the statement's execution; its end is still to be reported.
+    Recall(usize),
+    Probe(usize),
+}
+
+pub struct Facade {
+    router: Router,
+    desk: Desk,
+}
+
+/// What the router asked for and network code has not picked up yet.
+#[derive(Default)]
+struct Desk {
+    /// As many as were ever held at once; a slot is free again once its statement is over and nothing is out.
+    held: Vec<Slot>,
+    free: Vec<usize>,
+    /// Emptied by each `tick`.
+    due: VecDeque<Due>,
+    picking: Option<usize>,
+    now: f64,
+    wake_at: f64,
+    breaches: u64,
+}
+
+#[derive(Clone, Copy, Default)]
+struct Slot {
+    taken: bool,
+    choice: Option<Choice>,
+    over: bool,
+    out: u32,
+}
+
+impl Facade {
+    pub fn start(now: f64, terms: Terms) -> Facade {
+        let mut desk = Desk { now, ..Desk::default() };
+        let router = Router::start(now, terms, &mut desk);
+        Facade { router, desk }
+    }
+
+    /// The statement's number, which is its own until it is over and nothing of it is out, and what to do.
+    pub fn pick(&mut self, now: f64, ask: Ask) -> (usize, Choice) {
+        self.desk.now = now;
+        let index = match ask {
+            Ask::New(stmt) => {
+                let index = self.desk.open();
+                self.desk.picking = Some(index);
+                self.router.statement(now, index, stmt, &mut self.desk);
+                self.desk.picking = None;
+                index
+            }
+            Ask::Again(index) => index,
+        };
+        let choice = self.desk.held[index].choice.take().unwrap_or(Choice::Wait);
+        match choice {
+            Choice::Execute { .. } => self.desk.held[index].out += 1,
+            Choice::Reject { .. } | Choice::Abort => {
+                self.desk.held[index].over = true;
+                self.desk.settle(index);
+            }
+            Choice::Wait => {}
+        }
+        (index, choice)
+    }
+
+    pub fn report(&mut self, now: f64, news: News) {
+        self.desk.now = now;
+        match news {
+            News::Execution { stmt, host, ending, took, note, report } => {
+                let slot = &mut self.desk.held[stmt];
+                let known = slot.taken && slot.out > 0;
+                self.desk.must(known, "an execution that was picked ends once");
+                if known {
+                    let slot = &mut self.desk.held[stmt];
+                    slot.out -= 1;
+                    slot.over |= ending == Ending::Completed;
+                    let closed = slot.over;
+                    let outcome = Outcome { stmt, host, ending, took, closed, note, report };
+                    self.router.outcome(now, &outcome, &mut self.desk);
+                    self.desk.settle(stmt);
+                }
+            }
+            News::Probe { host, ending, report } => {
+                self.router.probed(now, host, ending, report, &mut self.desk);
+            }
+            News::List(list) => self.router.hosts(now, list, &mut self.desk),
+            News::ListFailed => self.router.list_failed(),
+            News::ClientGone(stmt) => self.gone(now, stmt),
+        }
+    }
+
+    fn gone(&mut self, now: f64, stmt: usize) {
+        let slot = self.desk.held[stmt];
+        self.desk.must(slot.taken && !slot.over, "a client leaves before its answer");
+        if !slot.taken || slot.over {
+            return;
+        }
+        self.desk.held[stmt].over = true;
+        match self.desk.held[stmt].choice.take() {
+            // Decided, and not picked up: the router no longer holds it.
+            Some(Choice::Reject { .. } | Choice::Abort) => {}
+            Some(Choice::Execute { host, .. }) => {
+                self.router.hangup(stmt);
+                let (ending, note) = (Ending::NeverSent, Report::default());
+                let outcome = Outcome { stmt, host, ending, took: 0.0, closed: true, note, report: None };
+                self.router.outcome(now, &outcome, &mut self.desk);
+            }
+            Some(Choice::Wait) | None => self.router.hangup(stmt),
+        }
+        self.desk.settle(stmt);
+    }
+
+    /// What is due now; nothing is named twice for the same reason.
+    pub fn tick(&mut self, now: f64) -> VecDeque<Due> {
+        self.desk.now = now;
+        if now >= self.desk.wake_at {
+            self.desk.wake_at = f64::INFINITY;
+            self.router.timer(now, &mut self.desk);
+        }
+        std::mem::take(&mut self.desk.due)
+    }
+
+    /// When `tick` wants to be called, if nothing else happens before.
+    pub fn wake_at(&self) -> f64 {
+        self.desk.wake_at
+    }
+
+    /// How often something that must hold did not.
+    pub fn breaches(&self) -> u64 {
+        self.desk.breaches
+    }
+}
+
+impl Desk {
+    fn must(&mut self, holds: bool, what: &str) {
+        debug_assert!(holds, "{what}");
+        self.breaches += u64::from(!holds);
+    }
+
+    fn open(&mut self) -> usize {
+        let index = self.free.pop().unwrap_or(self.held.len());
+        self.held.resize(self.held.len().max(index + 1), Slot::default());
+        self.held[index] = Slot { taken: true, ..Slot::default() };
+        index
+    }
+
+    fn settle(&mut self, index: usize) {
+        let slot = self.held[index];
+        if slot.taken && slot.over && slot.out == 0 && slot.choice.is_none() {
+            self.held[index].taken = false;
+            self.free.push(index);
+        }
+    }
+
+    fn choose(&mut self, index: usize, choice: Choice) {
+        let free = self.held[index].choice.is_none() && !self.held[index].over;
+        self.must(free, "one choice at a time, and none after the last");
+        self.held[index].choice = Some(choice);
+        if self.picking != Some(index) {
+            self.due.push_back(Due::Pick(index));
+        }
+    }
+}
+
+impl Front for Desk {
+    fn execute(&mut self, stmt: usize, host: usize, time_out: f64) {
+        self.choose(stmt, Choice::Execute { host, time_out });
+    }
+
+    fn reject(&mut self, stmt: usize, retry_after: f64) {
+        self.choose(stmt, Choice::Reject { retry_after });
+    }
+
+    fn abort(&mut self, stmt: usize) {
+        self.choose(stmt, Choice::Abort);
+    }
+
+    fn cancel(&mut self, stmt: usize, _execution: u32) {
+        self.due.push_back(Due::Recall(stmt));
+    }
+
+    fn probe(&mut self, host: usize) {
+        self.due.push_back(Due::Probe(host));
+    }
+
+    fn wake(&mut self, after: f64) {
+        self.wake_at = self.now + after;
+    }
+
+    /// On sockets discovery is watched from the start, whether asked for or not.
+    fn follow(&mut self) {}
+
+    fn log(&mut self, _text: &str) {}
+}
--- a/crates/drill/src/desk.rs
+++ b/crates/drill/src/desk.rs
@@ -7,8 +7,8 @@
 
 use ottersill_core::Router;
 use ottersill_core::interface::{Ending, Front, Listed, Outcome, Report, Role, Standing, Statement};
+use ottersill_terms::Names;
 
-use crate::terms::Names;
 use crate::wire::{Create, Demand, Entry, HealthResult, Pressure, Resolved, Tenant};
 
 pub struct Instance {
--- a/crates/drill/src/main.rs
+++ b/crates/drill/src/main.rs
@@ -2,7 +2,6 @@
 //! standard output. Ends with status 1 and one line on standard error at the first line that is no batch.
 
 mod desk;
-mod terms;
 mod wire;
 
 use std::io::{self, BufRead, BufWriter, Write};
--- a/crates/drill/src/wire.rs
+++ b/crates/drill/src/wire.rs
@@ -4,12 +4,12 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::fmt;
 
+use ottersill_terms::BootInfo;
 use serde::Deserialize;
 use serde::de::{DeserializeSeed, Deserializer, Error, IgnoredAny, MapAccess, SeqAccess, Visitor};
 use serde_json::value::RawValue;
 
 use crate::desk::Instance;
-use crate::terms::BootInfo;
 
 #[derive(Deserialize)]
 pub struct Create {
--- /dev/null
+++ b/crates/ottersill/src/lib.rs
@@ -0,0 +1,5 @@
+//! The router of ottersill on sockets: one program, one thread, one loop around the decision module.
+
+pub mod lifecycle;
+pub mod memory;
+pub mod wire;
--- /dev/null
+++ b/crates/ottersill/src/lifecycle/charter.rs
@@ -0,0 +1,63 @@
+//! What a router is told when it starts.
+
+use std::net::SocketAddr;
+
+use ottersill_terms::BootInfo;
+use serde::{Deserialize, Deserializer};
+
+use crate::wire::discovery::List;
+use crate::wire::exchange::Berths;
+
+/// Descriptors that are no connection: three standard ones, the loop's four, listener, discovery; and as many
+/// again, so that a crowd at the door and a dropped connection not closed yet never take the last one.
+const OWN_DESCRIPTORS: usize = 18;
+
+#[derive(Deserialize)]
+pub struct Charter {
+    pub name: String,
+    pub listen: SocketAddr,
+    pub discovery: SocketAddr,
+    #[serde(deserialize_with = "hexadecimal")]
+    pub seed: u64,
+    pub limits: Limits,
+    /// The hosts as this router last had them; may be old.
+    #[serde(default)]
+    pub known: Option<List>,
+    pub settings: BootInfo,
+}
+
+#[derive(Clone, Copy, Debug, Deserialize)]
+pub struct Limits {
+    pub memory_mb: usize,
+    pub sockets: usize,
+}
+
+impl Limits {
+    /// Every client may have one execution out, so half goes to clients and half to hosts.
+    pub fn berths(&self) -> Result<Berths, String> {
+        let left = self.sockets.saturating_sub(OWN_DESCRIPTORS);
+        if left < 2 {
+            return Err(format!("limits.sockets: expected over {OWN_DESCRIPTORS}, found {}", self.sockets));
+        }
+        Ok(Berths { clients: left / 2, lines: left - left / 2 })
+    }
+}
+
+fn hexadecimal<'de, D: Deserializer<'de>>(json: D) -> Result<u64, D::Error> {
+    let text = String::deserialize(json)?;
+    u64::from_str_radix(&text, 16)
+        .map_err(|_| serde::de::Error::custom(format!("expected a hexadecimal number, found {text:?}")))
+}
+
+/// Reads a charter; the error names the field and the reason.
+pub fn read(json: &[u8]) -> Result<Charter, String> {
+    let mut json = serde_json::Deserializer::from_slice(json);
+    serde_path_to_error::deserialize(&mut json).map_err(|e| format!("{}: {}", e.path(), e.inner()))
+}
+
+/// The charter that the environment names.
+pub fn find() -> Result<Charter, String> {
+    let path = std::env::var("NODE_CONFIG").map_err(|e| format!("NODE_CONFIG: {e}"))?;
+    let json = std::fs::read(&path).map_err(|e| format!("NODE_CONFIG: {path}: {e}"))?;
+    read(&json).map_err(|fault| format!("NODE_CONFIG: {path}: {fault}"))
+}
--- /dev/null
+++ b/crates/ottersill/src/lifecycle/serve.rs
@@ -0,0 +1,121 @@
+//! From the start to the exit.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use calloop::EventLoop;
+use calloop::signals::{Signal, Signals};
+use slog::info;
+
+use crate::lifecycle::charter::{self, Charter};
+use crate::lifecycle::log::Log;
+use crate::wire::exchange::{Exchange, Party};
+use crate::wire::socket;
+
+/// For this long after SIGTERM new clients still come, as the protocol page has it; seconds.
+const ARRIVALS: f64 = 0.4;
+
+#[derive(Clone, Copy, Debug, PartialEq)]
+enum Phase {
+    /// No list has named a host yet.
+    Starting,
+    Serving,
+    /// Asked to stop; clients still come until then.
+    Arriving(f64),
+    /// What was taken in is answered, what idles is closed; until then at the latest.
+    Retiring(f64),
+    Done,
+}
+
+pub fn run() -> Result<(), String> {
+    let log = Log::default();
+    serve(charter::find()?, &log)
+}
+
+fn serve(charter: Charter, log: &Log) -> Result<(), String> {
+    let berths = charter.limits.berths().map_err(|e| format!("NODE_CONFIG: {e}"))?;
+    let upkeep = charter.settings.upkeep().map_err(|e| format!("NODE_CONFIG: settings.{e}"))?;
+    let (terms, names) =
+        charter.settings.terms(charter.seed).map_err(|e| format!("NODE_CONFIG: settings.{e}"))?;
+    let longest = terms.workloads.iter().map(|w| w.statement_timeout).fold(0.0, f64::max);
+    let mut events = EventLoop::try_new().map_err(|e| format!("event loop: {e}"))?;
+    let signals = Signals::new(&[Signal::SIGTERM, Signal::SIGINT, Signal::SIGUSR1]);
+    let signals = signals.map_err(|e| format!("signals: {e}"))?;
+    let handle = events.handle();
+    let told = handle.insert_source(signals, |event, (), exchange: &mut Exchange| match event.signal() {
+        Signal::SIGUSR1 => exchange.print_asked = true,
+        _ => exchange.stop_asked = true,
+    });
+    told.map_err(|e| format!("signals: {e}"))?;
+    let logger = log.logger(&charter.name);
+    let discovery = charter.discovery;
+    let mut exchange = Exchange::new(terms, names, upkeep, berths, discovery, logger, handle);
+    if let Some(known) = &charter.known {
+        exchange.take_list(known);
+    }
+    exchange.watch_discovery();
+    info!(exchange.log, "started"; "listen" => %charter.listen, "discovery" => %charter.discovery);
+    let door = Door { at: charter.listen, backlog: berths.clients };
+    let mut phase = Phase::Starting;
+    while phase != Phase::Done {
+        phase = advance(phase, &mut exchange, &door, longest)?;
+        let next = exchange.next_at().min(phase.until());
+        let wait = (next - exchange.clock.now()).clamp(0.0, 1.0);
+        let wait = Duration::from_secs_f64(wait);
+        events.dispatch(Some(wait), &mut exchange).map_err(|e| format!("event loop: {e}"))?;
+        exchange.turn();
+        exchange.counters.log_dropped = log.dropped();
+        if std::mem::take(&mut exchange.print_asked) {
+            print(&exchange);
+        }
+        log.flush();
+    }
+    print(&exchange);
+    log.flush();
+    Ok(())
+}
+
+struct Door {
+    at: SocketAddr,
+    backlog: usize,
+}
+
+impl Phase {
+    fn until(self) -> f64 {
+        match self {
+            Phase::Arriving(until) | Phase::Retiring(until) => until,
+            _ => f64::INFINITY,
+        }
+    }
+}
+
+fn advance(phase: Phase, exchange: &mut Exchange, door: &Door, longest: f64) -> Result<Phase, String> {
+    Ok(match phase {
+        Phase::Starting if exchange.stop_asked => Phase::Done,
+        // Ready only once something can be served: the front asks as soon as it gets through.
+        Phase::Starting if !exchange.hosts.all.is_empty() => {
+            let listening = socket::listen(door.at, door.backlog);
+            let attended = listening.and_then(|listener| exchange.attend(listener, Party::Listener));
+            exchange.listener = Some(attended.map_err(|e| format!("listen on {}: {e}", door.at))?);
+            exchange.again(Party::Listener);
+            info!(exchange.log, "ready"; "hosts" => exchange.hosts.all.len());
+            Phase::Serving
+        }
+        Phase::Serving if exchange.stop_asked => {
+            info!(exchange.log, "stopping"; "in_hand" => exchange.statements.in_hand());
+            Phase::Arriving(exchange.now + ARRIVALS)
+        }
+        Phase::Arriving(until) if exchange.now >= until => {
+            exchange.retire();
+            Phase::Retiring(exchange.now + longest)
+        }
+        Phase::Retiring(until) if exchange.clients.is_empty() || exchange.now >= until => Phase::Done,
+        phase => phase,
+    })
+}
+
+fn print(exchange: &Exchange) {
+    info!(exchange.log, "counters: {}", exchange.counters; "breaches_in_all" => exchange.breaches(),
+        "clients_now" => exchange.clients.len(), "lines_now" => exchange.lines.len(),
+        "in_hand" => exchange.statements.in_hand());
+}
--- /dev/null
+++ b/crates/ottersill/src/memory/clients.rs
@@ -0,0 +1,44 @@
+//! Client connections.
+
+use std::rc::Rc;
+
+use bytes::BytesMut;
+use calloop::RegistrationToken;
+use socket2::Socket;
+
+use crate::wire::socket::Outbox;
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Session {
+    /// The startup message is awaited.
+    Greeting,
+    /// Between statements; `since` is when it last had something to do.
+    Idle,
+    /// That statement is in hand.
+    Busy(usize),
+    /// What is in the outbox goes out, then the connection is closed.
+    Leaving,
+}
+
+impl Session {
+    pub fn may_become(self, next: Session) -> bool {
+        use Session::*;
+        matches!(
+            (self, next),
+            (Greeting, Idle) | (Idle, Busy(_)) | (Busy(_), Idle) | (Greeting | Idle | Busy(_), Leaving)
+        )
+    }
+}
+
+pub struct Client {
+    pub session: Session,
+    pub since: f64,
+    pub socket: Rc<Socket>,
+    pub token: RegistrationToken,
+    /// May hold further queries that a client sent ahead; at most two messages are read ahead.
+    pub inbox: BytesMut,
+    /// Holds one answer at most, as the next query waits for it to go out.
+    pub outbox: Outbox,
+    /// More may be there to read, and no further readiness will tell of it.
+    pub unread: bool,
+}
--- /dev/null
+++ b/crates/ottersill/src/memory/lines.rs
@@ -0,0 +1,71 @@
+//! Connections to hosts, called lines: each carries one statement or probe at a time.
+
+use std::rc::Rc;
+
+use bytes::BytesMut;
+use calloop::RegistrationToken;
+use ottersill_core::interface::Ending;
+use socket2::Socket;
+
+use crate::memory::alarms::Set;
+use crate::wire::reply::Reply;
+use crate::wire::socket::Outbox;
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Course {
+    /// The connection is being set up.
+    Dialing,
+    /// It is up, and the host's first ReadyForQuery is awaited.
+    Greeting,
+    Idle,
+    /// The load is not written whole.
+    Sending,
+    /// The load's last byte was handed over: from here on it may run.
+    Sent,
+    Closed,
+}
+
+impl Course {
+    pub fn may_become(self, next: Course) -> bool {
+        use Course::*;
+        matches!(
+            (self, next),
+            (Dialing, Greeting)
+                | (Greeting | Sent, Idle)
+                | (Idle, Sending)
+                | (Sending, Sent)
+                | (Dialing | Greeting | Idle | Sending | Sent, Closed)
+        )
+    }
+
+    /// What an execution on it has come to if the connection breaks now: the proof line.
+    pub fn broken(self) -> Ending {
+        if self == Course::Sent { Ending::Reset } else { Ending::ConnectFailed }
+    }
+
+    /// The same if the router stops waiting.
+    pub fn given_up(self, late: Ending) -> Ending {
+        if self == Course::Sent { late } else { Ending::NeverSent }
+    }
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Load {
+    Statement(usize),
+    Probe,
+}
+
+pub struct Line {
+    pub host: usize,
+    pub course: Course,
+    pub load: Option<Load>,
+    /// When the load was given, and when it ends unanswered.
+    pub since: f64,
+    pub until: f64,
+    pub socket: Rc<Socket>,
+    pub token: RegistrationToken,
+    pub alarm: Option<Set>,
+    pub inbox: BytesMut,
+    pub outbox: Outbox,
+    pub reply: Reply,
+}
--- /dev/null
+++ b/crates/ottersill/src/memory/mod.rs
@@ -0,0 +1,8 @@
+//! What is kept in memory: statements, hosts with the connections to them, clients, alarms, counters.
+
+pub mod alarms;
+pub mod clients;
+pub mod counters;
+pub mod hosts;
+pub mod lines;
+pub mod statements;
--- /dev/null
+++ b/crates/ottersill/src/memory/statements.rs
@@ -0,0 +1,83 @@
+//! Statements in hand, by the number that the facade gave them.
+
+use crate::memory::counters::Counters;
+use crate::wire::statement::Text;
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Stage {
+    /// No statement has this number.
+    Vacant,
+    /// The facade said to wait, or is about to say.
+    Waiting,
+    /// An execution is out on that line.
+    Executing(usize),
+    /// The client left; an execution is still out on that line.
+    Orphaned(usize),
+}
+
+impl Stage {
+    /// The ways a statement may go. Vacant to Waiting is the taking in; back to Vacant is the final answer, the
+    /// client's leaving, or the end of an orphan.
+    pub fn may_become(self, next: Stage) -> bool {
+        use Stage::*;
+        match (self, next) {
+            (Vacant, Waiting) | (Waiting, Vacant | Executing(_)) => true,
+            (Executing(_), Waiting | Vacant) | (Orphaned(_), Vacant) => true,
+            (Executing(line), Orphaned(same)) => line == same,
+            _ => false,
+        }
+    }
+}
+
+#[derive(Clone, Debug)]
+pub struct Held {
+    pub stage: Stage,
+    pub client: usize,
+    /// Outlives the message it came in, as it may be sent more than once; dropped with the final answer.
+    pub text: Text,
+    /// When its client stops waiting.
+    pub deadline: f64,
+}
+
+/// Grows to as many as were ever in hand at once; the facade's numbers are used again.
+#[derive(Default)]
+pub struct Statements {
+    held: Vec<Held>,
+    in_hand: usize,
+}
+
+impl Statements {
+    /// A statement enters under the number that the facade gave it.
+    pub fn enter(&mut self, index: usize, new: Held, counters: &mut Counters) {
+        let vacant = Held { stage: Stage::Vacant, text: Text::default(), ..new };
+        self.held.resize(self.held.len().max(index + 1), vacant);
+        counters
+            .must(self.held[index].stage == Stage::Vacant, "a number is given to one statement at a time");
+        let stage = self.held[index].stage;
+        self.held[index] = Held { stage, ..new };
+        self.pass(index, Stage::Waiting, counters);
+    }
+
+    /// Every change of a statement's stage.
+    pub fn pass(&mut self, index: usize, next: Stage, counters: &mut Counters) {
+        let held = &mut self.held[index];
+        counters.must(held.stage.may_become(next), "a statement goes its ways only");
+        match (held.stage, next) {
+            (Stage::Vacant, _) => self.in_hand += 1,
+            (_, Stage::Vacant) => {
+                self.in_hand -= 1;
+                held.text = Text::default();
+            }
+            _ => {}
+        }
+        held.stage = next;
+    }
+
+    pub fn get(&self, index: usize) -> Option<&Held> {
+        self.held.get(index).filter(|held| held.stage != Stage::Vacant)
+    }
+
+    pub fn in_hand(&self) -> usize {
+        self.in_hand
+    }
+}
--- /dev/null
+++ b/crates/ottersill/src/wire/client_side.rs
@@ -0,0 +1,256 @@
+//! Clients: their connections, their queries, their answers.
+
+use bytes::{Bytes, BytesMut};
+use ottersill_core::facade::News;
+use ottersill_core::interface::Statement;
+use slog::{info, warn};
+use socket2::Socket;
+
+use crate::memory::clients::{Client, Session};
+use crate::memory::statements::{Held, Stage};
+use crate::wire::exchange::{Exchange, Party};
+use crate::wire::frame::{self, Code, Startup};
+use crate::wire::socket::{self, Got, Outbox};
+use crate::wire::statement::Text;
+
+/// Accepted in one turn, so that a crowd of new connections holds up no answer.
+const ACCEPTS: usize = 64;
+
+impl Exchange {
+    pub fn listener_is_ready(&mut self) {
+        let Some((listener, _)) = self.listener.clone() else { return };
+        for _ in 0..ACCEPTS {
+            match socket::accept(&listener) {
+                Ok(Some(socket)) => self.admit(socket),
+                Ok(None) => return,
+                // One that broke before it was accepted, or no descriptor for now: others may fare better later.
+                Err(e) => {
+                    warn!(self.log, "accept"; "fault" => %e);
+                    return;
+                }
+            }
+        }
+        self.again(Party::Listener);
+    }
+
+    fn admit(&mut self, socket: Socket) {
+        self.counters.clients += 1;
+        if self.clients.len() >= self.berths.clients && !self.close_idle_client() {
+            self.counters.clients_turned_away += 1;
+            let mut outbox = Outbox::default();
+            outbox.push(frame::error("FATAL", Code::TooMany, "no descriptor is left for this client", None));
+            // As much as fits; there is no place to keep the rest.
+            let _ = outbox.flush(&socket);
+            return;
+        }
+        let id = self.clients.vacant_key();
+        if let Ok((socket, token)) = self.attend(socket, Party::Client(id)) {
+            let (inbox, outbox) = (BytesMut::new(), Outbox::default());
+            let (session, since) = (Session::Greeting, self.now);
+            self.clients.insert(Client { session, since, socket, token, inbox, outbox, unread: false });
+            self.client_is_ready(id);
+        }
+    }
+
+    /// Every change of a client connection's session.
+    fn session_passes(&mut self, id: usize, next: Session) {
+        let client = &mut self.clients[id];
+        self.counters.must(client.session.may_become(next), "a client connection goes its ways only");
+        client.session = next;
+        client.since = self.now;
+    }
+
+    /// Closes the client connection that has stood idle for longest.
+    fn close_idle_client(&mut self) -> bool {
+        let idle = self.clients.iter().filter(|(_, c)| c.session == Session::Idle && c.inbox.is_empty());
+        let oldest = idle.min_by(|a, b| a.1.since.total_cmp(&b.1.since)).map(|(id, _)| id);
+        if let Some(id) = oldest {
+            self.counters.clients_closed_idle += 1;
+            self.close_client(id);
+        }
+        oldest.is_some()
+    }
+
+    pub fn close_idle_clients(&mut self) {
+        let idle = |c: &Client| matches!(c.session, Session::Idle | Session::Greeting) && c.outbox.is_empty();
+        let idle: Vec<usize> = self.clients.iter().filter(|(_, c)| idle(c)).map(|(id, _)| id).collect();
+        for id in idle {
+            // A last look: what has come by now is taken in.
+            self.client_is_ready(id);
+            let still = self.clients.get(id).is_some_and(|c| !matches!(c.session, Session::Busy(_)));
+            if still {
+                self.close_client(id);
+            }
+        }
+    }
+
+    /// Ends the connection; a statement of it that is in hand has lost its client.
+    fn close_client(&mut self, id: usize) {
+        let client = self.clients.remove(id);
+        self.handle.remove(client.token);
+        if let Session::Busy(stmt) = client.session {
+            self.counters.clients_left += 1;
+            let Some(held) = self.statements.get(stmt) else { return };
+            let next = match held.stage {
+                Stage::Executing(line) => Stage::Orphaned(line),
+                _ => Stage::Vacant,
+            };
+            self.statements.pass(stmt, next, &mut self.counters);
+            self.tell(News::ClientGone(stmt));
+        }
+    }
+
+    pub fn client_is_ready(&mut self, id: usize) {
+        let Some(client) = self.clients.get_mut(id) else { return };
+        let read = client.outbox.flush(&client.socket).and_then(|_| {
+            // Twice the longest message: a whole one ahead of the one in hand, then the client has to wait.
+            socket::read(&client.socket, &mut client.inbox, 2 * frame::LONGEST)
+        });
+        match read {
+            Ok(Got::All) => client.unread = false,
+            // Where a statement is in hand, its answer brings us back here.
+            Ok(Got::More) => client.unread = true,
+            Ok(Got::End) | Err(_) => return self.close_client(id),
+        }
+        self.read_queries(id);
+    }
+
+    /// Takes in what is there whole, one query at a time: each waits for the answer before it to go out.
+    fn read_queries(&mut self, id: usize) {
+        while let Some(client) = self.clients.get_mut(id) {
+            if !client.outbox.is_empty() {
+                return;
+            }
+            let step = match client.session {
+                Session::Busy(_) => return,
+                Session::Leaving => return self.close_client(id),
+                Session::Greeting => frame::startup(&mut client.inbox).map(|s| s.map(|s| self.greet(id, s))),
+                Session::Idle => frame::message(&mut client.inbox).map(|m| m.map(|m| self.query(id, m))),
+            };
+            match step {
+                Ok(Some(())) => {}
+                Ok(None) => {
+                    if self.clients[id].unread {
+                        self.again(Party::Client(id));
+                    }
+                    return;
+                }
+                Err(nonsense) => self.dismiss(id, Code::ProtocolViolation, nonsense),
+            }
+        }
+    }
+
+    fn greet(&mut self, id: usize, startup: Startup) {
+        match startup {
+            Startup::Version3 => {
+                self.session_passes(id, Session::Idle);
+                self.say(id, [frame::WELCOME.clone()]);
+            }
+            Startup::Encryption => self.say(id, [frame::NO_ENCRYPTION.clone()]),
+            // Cancelling is not offered; the protocol has this end without a word.
+            Startup::Cancel => self.session_passes(id, Session::Leaving),
+            Startup::OtherVersion => self.dismiss(id, Code::NotSupported, "only version 3 is spoken here"),
+        }
+    }
+
+    fn query(&mut self, id: usize, message: frame::Message) {
+        match message.tag() {
+            b'Q' => match message.query() {
+                Some(text) if text.iter().all(|byte| byte.is_ascii_whitespace() || *byte == b';') => {
+                    self.counters.empty_queries += 1;
+                    self.say(id, [frame::EMPTY.clone(), frame::READY.clone()]);
+                }
+                Some(text) => self.take_in(id, &text),
+                None => self.dismiss(id, Code::ProtocolViolation, "a query without its end"),
+            },
+            b'X' => self.session_passes(id, Session::Leaving),
+            _ => self.dismiss(id, Code::NotSupported, "only simple queries are spoken here"),
+        }
+    }
+
+    fn take_in(&mut self, client: usize, text: &Bytes) {
+        let (text, said) = match Text::read(text) {
+            Ok(read) => read,
+            Err(lack) => return self.refuse_strange(client, Code::ProtocolViolation, lack),
+        };
+        let Some(workload) = self.names.workloads.iter().position(|name| name == said.workload) else {
+            return self.refuse_strange(client, Code::Unknown, "no workload has the name in c");
+        };
+        let Some(group) = self.hosts.group(said.cluster) else {
+            return self.refuse_strange(client, Code::Unknown, "no list has named this cluster");
+        };
+        let stmt = Statement {
+            workload,
+            group,
+            tenant: None,
+            session: said.session,
+            time_left: said.time_left,
+            since_write: said.after.map(|after| (self.now - after).max(0.0)),
+            repeat: said.repeat,
+        };
+        self.counters.statements += 1;
+        let deadline = self.now + said.time_left;
+        self.open(stmt, |exchange, index| {
+            let held = Held { stage: Stage::Waiting, client, text, deadline };
+            exchange.statements.enter(index, held, &mut exchange.counters);
+            exchange.session_passes(client, Session::Busy(index));
+        });
+    }
+
+    /// The connection is in order, the query is none of this service's.
+    fn refuse_strange(&mut self, id: usize, code: Code, text: &str) {
+        self.counters.strange_queries += 1;
+        self.say(id, [frame::error("ERROR", code, text, None), frame::READY.clone()]);
+    }
+
+    /// What this client sends can't be trusted any more.
+    fn dismiss(&mut self, id: usize, code: Code, text: &str) {
+        self.counters.client_nonsense += 1;
+        info!(self.log, "client dismissed"; "reason" => text);
+        self.session_passes(id, Session::Leaving);
+        self.say(id, [frame::error("FATAL", code, text, None)]);
+    }
+
+    fn say<const N: usize>(&mut self, id: usize, slices: [Bytes; N]) {
+        let client = &mut self.clients[id];
+        slices.into_iter().for_each(|slice| client.outbox.push(slice));
+        // A failure shows when the connection is read next.
+        if client.outbox.flush(&client.socket).is_err() {
+            self.again(Party::Client(id));
+        }
+    }
+
+    /// The one final answer of a statement that is not orphaned.
+    fn answer<const N: usize>(&mut self, stmt: usize, slices: [Bytes; N]) {
+        let Some(held) = self.statements.get(stmt) else { return };
+        let client = held.client;
+        self.statements.pass(stmt, Stage::Vacant, &mut self.counters);
+        self.session_passes(client, Session::Idle);
+        self.say(client, slices);
+        if self.retiring {
+            self.session_passes(client, Session::Leaving);
+        }
+        let client_at = &self.clients[client];
+        if self.retiring || client_at.unread || !client_at.inbox.is_empty() {
+            self.again(Party::Client(client));
+        }
+    }
+
+    pub fn complete(&mut self, stmt: usize, [description, row, complete]: [Bytes; 3]) {
+        self.counters.completed += 1;
+        self.answer(stmt, [description, row, complete, frame::READY.clone()]);
+    }
+
+    pub fn reject(&mut self, stmt: usize, retry_after: f64) {
+        self.counters.rejected += 1;
+        let come_again = (retry_after > 0.0).then_some((retry_after * 1000.0).ceil() as u64);
+        let error = frame::error("ERROR", Code::TooMany, "rejected: nothing ran", come_again);
+        self.answer(stmt, [error, frame::READY.clone()]);
+    }
+
+    pub fn abort(&mut self, stmt: usize) {
+        self.counters.aborted += 1;
+        let error = frame::error("ERROR", Code::CompletionUnknown, "aborted: it may have run", None);
+        self.answer(stmt, [error, frame::READY.clone()]);
+    }
+}
--- /dev/null
+++ b/crates/ottersill/src/wire/exchange.rs
@@ -0,0 +1,236 @@
+//! Where the wire, the memory and the module meet: what became ready is read, told to the facade, and what the
+//! facade says is carried out. Nothing here decides.
+
+use std::io;
+use std::mem;
+use std::rc::Rc;
+use std::time::{Instant, SystemTime, UNIX_EPOCH};
+
+use calloop::generic::Generic;
+use calloop::{Interest, LoopHandle, Mode, PostAction, RegistrationToken};
+use ottersill_core::facade::{Ask, Choice, Due, Facade, News};
+use ottersill_core::interface::{Listed, Statement, Terms};
+use ottersill_terms::{Names, Upkeep};
+use slab::Slab;
+use slog::Logger;
+use socket2::Socket;
+
+use crate::memory::alarms::{Alarm, Alarms};
+use crate::memory::clients::Client;
+use crate::memory::counters::Counters;
+use crate::memory::hosts::Hosts;
+use crate::memory::lines::Line;
+use crate::memory::statements::Statements;
+use crate::wire::discovery::Watch;
+
+/// One time for everything: it never goes back, and was tied to Unix time once, since positions are Unix times.
+#[derive(Clone, Copy, Debug)]
+pub struct Clock {
+    started: Instant,
+    unix: f64,
+}
+
+impl Default for Clock {
+    fn default() -> Clock {
+        let unix = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+        Clock { started: Instant::now(), unix: unix.as_secs_f64() }
+    }
+}
+
+impl Clock {
+    pub fn now(&self) -> f64 {
+        self.unix + self.started.elapsed().as_secs_f64()
+    }
+}
+
+/// Whose socket became ready. In this order they are seen to: what discovery wrote counts as told, and an answer
+/// that is read first makes room for the statement that follows.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Party {
+    Discovery,
+    Line(usize),
+    Client(usize),
+    Listener,
+}
+
+/// How many connections the limit on descriptors leaves.
+#[derive(Clone, Copy, Debug)]
+pub struct Berths {
+    pub clients: usize,
+    pub lines: usize,
+}
+
+pub struct Exchange {
+    pub facade: Facade,
+    pub statements: Statements,
+    pub hosts: Hosts,
+    pub clients: Slab<Client>,
+    pub lines: Slab<Line>,
+    pub watch: Watch,
+    pub alarms: Alarms,
+    pub counters: Counters,
+    pub names: Names,
+    pub upkeep: Upkeep,
+    pub berths: Berths,
+    pub log: Logger,
+    pub handle: LoopHandle<'static, Exchange>,
+    pub clock: Clock,
+    /// When the sockets were last found ready: what is read counts as having come then.
+    pub now: f64,
+    pub listener: Option<(Rc<Socket>, RegistrationToken)>,
+    /// After SIGTERM and the time in which clients still come: idle connections are closed.
+    pub retiring: bool,
+    /// What signals have asked for.
+    pub stop_asked: bool,
+    pub print_asked: bool,
+    /// Emptied by each turn.
+    ready: Vec<Party>,
+}
+
+impl Exchange {
+    pub fn new(
+        terms: Terms,
+        names: Names,
+        upkeep: Upkeep,
+        berths: Berths,
+        discovery: std::net::SocketAddr,
+        log: Logger,
+        handle: LoopHandle<'static, Exchange>,
+    ) -> Exchange {
+        let clock = Clock::default();
+        let now = clock.now();
+        Exchange {
+            facade: Facade::start(now, terms),
+            statements: Statements::default(),
+            hosts: Hosts::new(names.sites.clone()),
+            clients: Slab::new(),
+            lines: Slab::new(),
+            watch: Watch::new(discovery),
+            alarms: Alarms::default(),
+            counters: Counters::default(),
+            names,
+            upkeep,
+            berths,
+            log,
+            handle,
+            clock,
+            now,
+            listener: None,
+            retiring: false,
+            stop_asked: false,
+            print_asked: false,
+            ready: Vec::new(),
+        }
+    }
+
+    /// Has the loop tell when the socket becomes ready: once for each change, so that nothing needs to be asked
+    /// for again; whoever leaves something unread says so by [`Exchange::again`].
+    pub fn attend(&mut self, socket: Socket, party: Party) -> io::Result<(Rc<Socket>, RegistrationToken)> {
+        let socket = Rc::new(socket);
+        let source = Generic::new(Rc::clone(&socket), Interest::BOTH, Mode::Edge);
+        let told = self.handle.insert_source(source, move |_, _, exchange: &mut Exchange| {
+            exchange.again(party);
+            Ok(PostAction::Continue)
+        });
+        Ok((socket, told.map_err(|e| io::Error::other(e.error))?))
+    }
+
+    /// Sees to that party in the next turn.
+    pub fn again(&mut self, party: Party) {
+        self.ready.push(party);
+    }
+
+    /// When the next turn is due though no socket becomes ready.
+    pub fn next_at(&self) -> f64 {
+        let next = if self.ready.is_empty() { f64::INFINITY } else { self.now };
+        self.alarms.next_at().unwrap_or(f64::INFINITY).min(self.facade.wake_at()).min(next)
+    }
+
+    pub fn turn(&mut self) {
+        self.now = self.clock.now();
+        let mut ready = mem::take(&mut self.ready);
+        ready.sort_unstable();
+        ready.dedup();
+        for party in ready {
+            match party {
+                Party::Discovery => self.discovery_is_ready(),
+                Party::Line(line) => self.line_is_ready(line),
+                Party::Client(client) => self.client_is_ready(client),
+                Party::Listener => self.listener_is_ready(),
+            }
+            self.carry_out();
+        }
+        while let Some(alarm) = self.alarms.due(self.now) {
+            match alarm {
+                Alarm::Discovery => self.discovery_is_due(),
+                Alarm::Line(line) => self.line_is_due(line),
+            }
+            self.carry_out();
+        }
+        self.carry_out();
+    }
+
+    /// Does what the facade names, until it names nothing more.
+    fn carry_out(&mut self) {
+        loop {
+            let due = self.facade.tick(self.now);
+            if due.is_empty() {
+                return;
+            }
+            for due in due {
+                match due {
+                    Due::Pick(stmt) => {
+                        let (stmt, choice) = self.facade.pick(self.now, Ask::Again(stmt));
+                        self.act(stmt, choice);
+                    }
+                    Due::Recall(stmt) => self.recall(stmt),
+                    Due::Probe(host) => self.probe(host),
+                }
+            }
+        }
+    }
+
+    /// Opens a statement at the facade; `held` is told the number that it got.
+    pub fn open(&mut self, stmt: Statement, held: impl FnOnce(&mut Exchange, usize)) {
+        let (index, choice) = self.facade.pick(self.now, Ask::New(stmt));
+        held(self, index);
+        self.act(index, choice);
+    }
+
+    fn act(&mut self, stmt: usize, choice: Choice) {
+        match choice {
+            Choice::Wait => {}
+            Choice::Execute { host, time_out } => self.execute(stmt, host, time_out),
+            Choice::Reject { retry_after } => self.reject(stmt, retry_after),
+            Choice::Abort => self.abort(stmt),
+        }
+    }
+
+    pub fn tell(&mut self, news: News) {
+        self.facade.report(self.now, news);
+    }
+
+    pub fn tell_list(&mut self, told: &[Listed]) {
+        self.tell(News::List(told));
+    }
+
+    pub fn list_failed(&mut self) {
+        self.tell(News::ListFailed);
+    }
+
+    /// Takes in who is at the door, closes it, and from now on ends client connections once they idle.
+    pub fn retire(&mut self) {
+        self.listener_is_ready();
+        if let Some((_, token)) = self.listener.take() {
+            self.handle.remove(token);
+        }
+        self.retiring = true;
+        self.close_idle_clients();
+        self.carry_out();
+    }
+
+    /// Everything that must hold, wherever it is counted.
+    pub fn breaches(&self) -> u64 {
+        self.counters.breaches + self.facade.breaches()
+    }
+}
--- /dev/null
+++ b/crates/ottersill/src/wire/frame.rs
@@ -0,0 +1,160 @@
+//! PostgreSQL's messages, version 3: cut off the front of a read buffer as slices of it, and written.
+
+use bytes::{BufMut, Bytes, BytesMut};
+
+/// The protocol page's bound on values.
+const VALUE: usize = 64 * 1024;
+/// A value is written with two digits a byte, beside its statement.
+pub const LONGEST: usize = 4 * VALUE;
+/// Messages of a startup hold a few names.
+const LONGEST_STARTUP: usize = 10_000;
+
+const PROTOCOL_3: u32 = 3 << 16;
+const CANCEL: u32 = (1234 << 16) | 5678;
+const SSL: u32 = (1234 << 16) | 5679;
+const GSSENC: u32 = (1234 << 16) | 5680;
+
+/// One message, header included.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Message(pub Bytes);
+
+impl Message {
+    pub fn tag(&self) -> u8 {
+        self.0[0]
+    }
+
+    pub fn body(&self) -> &[u8] {
+        &self.0[5..]
+    }
+
+    /// The field of that type in an ErrorResponse.
+    pub fn field(&self, kind: u8) -> Option<&[u8]> {
+        self.body().split(|byte| *byte == 0).find(|field| field.first() == Some(&kind)).map(|f| &f[1..])
+    }
+
+    /// The name and value of a ParameterStatus.
+    pub fn parameter(&self) -> Option<(&[u8], &[u8])> {
+        let mut parts = self.body().split(|byte| *byte == 0);
+        Some((parts.next()?, parts.next()?))
+    }
+
+    /// The only column of a DataRow of one.
+    pub fn column(&self) -> Option<&[u8]> {
+        let body = self.body();
+        let length = u32::from_be_bytes(body.get(2..6)?.try_into().ok()?) as usize;
+        (body[..2] == [0, 1] && body.len() == 6 + length).then(|| &body[6..])
+    }
+
+    /// The text of a Query, without the zero at its end.
+    pub fn query(&self) -> Option<Bytes> {
+        self.body().iter().position(|byte| *byte == 0).map(|end| self.0.slice(5..5 + end))
+    }
+}
+
+/// What is no message of this protocol, said in a few words.
+pub type Nonsense = &'static str;
+
+fn length(bytes: &[u8]) -> usize {
+    u32::from_be_bytes([bytes[0], bytes[1], bytes[2], bytes[3]]) as usize
+}
+
+/// The next message, once it is there whole.
+pub fn message(inbox: &mut BytesMut) -> Result<Option<Message>, Nonsense> {
+    if inbox.len() < 5 {
+        return Ok(None);
+    }
+    let whole = 1 + length(&inbox[1..5]);
+    match whole {
+        5..=LONGEST if inbox.len() >= whole => Ok(Some(Message(inbox.split_to(whole).freeze()))),
+        5..=LONGEST => Ok(None),
+        _ => Err("message length out of bounds"),
+    }
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Startup {
+    Version3,
+    /// Asks for encryption, which is not spoken here; another startup follows.
+    Encryption,
+    Cancel,
+    OtherVersion,
+}
+
+pub fn startup(inbox: &mut BytesMut) -> Result<Option<Startup>, Nonsense> {
+    if inbox.len() < 8 {
+        return Ok(None);
+    }
+    let whole = length(inbox);
+    if !(8..=LONGEST_STARTUP).contains(&whole) {
+        return Err("startup length out of bounds");
+    }
+    if inbox.len() < whole {
+        return Ok(None);
+    }
+    let code = length(&inbox.split_to(whole)[4..8]) as u32;
+    Ok(Some(match code {
+        CANCEL => Startup::Cancel,
+        SSL | GSSENC => Startup::Encryption,
+        // Minor versions ask for nothing that simple queries need.
+        code if code >> 16 == PROTOCOL_3 >> 16 => Startup::Version3,
+        _ => Startup::OtherVersion,
+    }))
+}
+
+fn framed(tag: u8, parts: &[&[u8]]) -> Bytes {
+    let length: usize = 4 + parts.iter().map(|part| part.len()).sum::<usize>();
+    let mut out = BytesMut::with_capacity(1 + length);
+    out.put_u8(tag);
+    out.put_u32(length as u32);
+    parts.iter().for_each(|part| out.put_slice(part));
+    out.freeze()
+}
+
+pub static READY: Bytes = Bytes::from_static(b"Z\0\0\0\x05I");
+pub static EMPTY: Bytes = Bytes::from_static(b"I\0\0\0\x04");
+pub static NO_ENCRYPTION: Bytes = Bytes::from_static(b"N");
+pub static SHOW_HEALTH: Bytes = Bytes::from_static(b"Q\0\0\0\x10SHOW health\0");
+pub static TERMINATE: Bytes = Bytes::from_static(b"X\0\0\0\x04");
+/// AuthenticationOk, two parameters that drivers insist on, ReadyForQuery.
+pub static WELCOME: Bytes = Bytes::from_static(
+    b"R\0\0\0\x08\0\0\0\0S\0\0\0\x19client_encoding\0UTF8\0S\0\0\0\x18server_version\x0016.0\0Z\0\0\0\x05I",
+);
+/// What a router says first to a host.
+pub static GREETING: Bytes = Bytes::from_static(b"\0\0\0\x25\0\x03\0\0user\0backend\0database\0store\0\0");
+
+/// The head of a Query whose text, with the zero at its end, has that length.
+pub fn query_head(text: usize) -> [u8; 5] {
+    let length = (4 + text as u32).to_be_bytes();
+    [b'Q', length[0], length[1], length[2], length[3]]
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Code {
+    /// A rejection: nothing ran, trying again is harmless. Said only for the module's rejections and for
+    /// connections that no descriptor is left for.
+    TooMany,
+    /// An abort: whether it ran is not known.
+    CompletionUnknown,
+    ProtocolViolation,
+    NotSupported,
+    Unknown,
+}
+
+impl Code {
+    fn sqlstate(self) -> &'static str {
+        match self {
+            Code::TooMany => "53300",
+            Code::CompletionUnknown => "40003",
+            Code::ProtocolViolation => "08P01",
+            Code::NotSupported => "0A000",
+            Code::Unknown => "42704",
+        }
+    }
+}
+
+/// An ErrorResponse; `come_again` in milliseconds goes into the field D.
+pub fn error(severity: &str, code: Code, text: &str, come_again: Option<u64>) -> Bytes {
+    let detail = come_again.map_or(String::new(), |ms| format!("D{ms}\0"));
+    let body = format!("S{severity}\0V{severity}\0C{}\0M{text}\0{detail}\0", code.sqlstate());
+    framed(b'E', &[body.as_bytes()])
+}
--- /dev/null
+++ b/crates/ottersill/src/wire/host_side.rs
@@ -0,0 +1,319 @@
+//! Hosts: the lines to them, and the executions and probes that these carry.
+
+use bytes::BytesMut;
+use ottersill_core::facade::News;
+use ottersill_core::interface::{Ending, Report};
+use slog::debug;
+
+use crate::memory::alarms::Alarm;
+use crate::memory::lines::{Course, Line, Load};
+use crate::memory::statements::Stage;
+use crate::wire::exchange::{Exchange, Party};
+use crate::wire::frame;
+use crate::wire::reply::Reply;
+use crate::wire::socket::{self, Got, Outbox};
+
+impl Exchange {
+    /// Every change of a line's course, with the time by which it has to change again.
+    fn line_passes(&mut self, id: usize, next: Course, until: f64) {
+        let line = &mut self.lines[id];
+        self.counters.must(line.course.may_become(next), "a line goes its ways only");
+        line.course = next;
+        self.alarms.clear(line.alarm.take());
+        if next != Course::Closed {
+            line.alarm = Some(self.alarms.set(until, Alarm::Line(id)));
+        }
+    }
+
+    pub fn execute(&mut self, stmt: usize, host: usize, time_out: f64) {
+        let Some(held) = self.statements.get(stmt) else { return };
+        self.counters.must(held.stage == Stage::Waiting, "a statement has one execution out at a time");
+        let until = if time_out > 0.0 { held.deadline.min(self.now + time_out) } else { held.deadline };
+        self.counters.executions += 1;
+        match self.give(host, Load::Statement(stmt), until) {
+            Ok(line) => self.statements.pass(stmt, Stage::Executing(line), &mut self.counters),
+            Err(ending) => self.tell_execution(stmt, host, ending, 0.0, &Reply::default()),
+        }
+    }
+
+    pub fn probe(&mut self, host: usize) {
+        self.counters.probes += 1;
+        // The settings name no other time after which a host counts as not there.
+        if let Err(ending) = self.give(host, Load::Probe, self.now + self.upkeep.connect) {
+            self.tell_probe(host, ending, Report::default());
+        }
+    }
+
+    /// Finds a line for the load, the last used first, or opens one.
+    fn give(&mut self, host: usize, load: Load, until: f64) -> Result<usize, Ending> {
+        while let Some(id) = self.hosts.all[host].idle.pop() {
+            // A last look: what the host has ended must not be taken for a connection.
+            let line = &mut self.lines[id];
+            let dry = matches!(socket::read(&line.socket, &mut line.inbox, frame::LONGEST), Ok(Got::All));
+            if !dry || !line.inbox.is_empty() {
+                self.counters.lines_ended += 1;
+                self.close_line(id);
+                continue;
+            }
+            self.load(id, load, until);
+            self.send(id);
+            return Ok(id);
+        }
+        let dial = self.hosts.all[host].dial.ok_or(Ending::ConnectFailed)?;
+        if self.lines.len() >= self.berths.lines && !self.close_idle_line() {
+            self.counters.lines_wanting += 1;
+            return Err(Ending::NeverSent);
+        }
+        let id = self.lines.vacant_key();
+        let opened = socket::dial(dial).and_then(|socket| self.attend(socket, Party::Line(id)));
+        let (socket, token) = opened.map_err(|_| {
+            self.counters.lines_failed += 1;
+            Ending::ConnectFailed
+        })?;
+        self.counters.lines_opened += 1;
+        let up_by = self.now + self.upkeep.connect;
+        let alarm = Some(self.alarms.set(until.min(up_by), Alarm::Line(id)));
+        let (inbox, outbox, reply) = (BytesMut::new(), Outbox::default(), Reply::default());
+        let course = Course::Dialing;
+        let since = self.now;
+        let load = Some(load);
+        let line = Line { host, course, load, since, until, socket, token, alarm, inbox, outbox, reply };
+        self.lines.insert(line);
+        Ok(id)
+    }
+
+    fn load(&mut self, id: usize, load: Load, until: f64) {
+        let line = &mut self.lines[id];
+        (line.load, line.since, line.until) = (Some(load), self.now, until);
+    }
+
+    /// Writes the line's load.
+    fn send(&mut self, id: usize) {
+        let line = &mut self.lines[id];
+        line.reply = Reply::default();
+        let until = line.until;
+        match line.load {
+            Some(Load::Statement(stmt)) => {
+                let left_ms = ((until - self.now) * 1000.0).max(1.0) as u64;
+                if let Some(held) = self.statements.get(stmt) {
+                    held.text.send(left_ms, &mut line.outbox);
+                }
+            }
+            Some(Load::Probe) => line.outbox.push(frame::SHOW_HEALTH.clone()),
+            None => {}
+        }
+        self.line_passes(id, Course::Sending, until);
+        self.again(Party::Line(id));
+        self.flush(id);
+    }
+
+    /// False if the connection broke.
+    fn flush(&mut self, id: usize) -> bool {
+        let line = &mut self.lines[id];
+        let flushed = line.outbox.flush(&line.socket);
+        let until = line.until;
+        if line.course == Course::Sending && matches!(flushed, Ok(true)) {
+            self.line_passes(id, Course::Sent, until);
+        }
+        flushed.is_ok()
+    }
+
+    pub fn line_is_ready(&mut self, id: usize) {
+        let Some(line) = self.lines.get_mut(id) else { return };
+        if line.course == Course::Dialing {
+            match socket::is_up(&line.socket) {
+                Ok(false) => return,
+                Ok(true) => {
+                    line.outbox.push(frame::GREETING.clone());
+                    let until = line.until.min(line.since + self.upkeep.connect);
+                    self.line_passes(id, Course::Greeting, until);
+                }
+                Err(e) => {
+                    debug!(self.log, "line failed"; "fault" => %e);
+                    return self.break_line(id);
+                }
+            }
+        }
+        let wrote = self.flush(id);
+        let line = &mut self.lines[id];
+        // An answer that came before the break still counts.
+        let got = socket::read(&line.socket, &mut line.inbox, 2 * frame::LONGEST);
+        if !self.read_reply(id) {
+            return;
+        }
+        match got {
+            Ok(Got::All) if wrote => {}
+            Ok(Got::More) if wrote => self.again(Party::Line(id)),
+            _ => self.break_line(id),
+        }
+    }
+
+    /// Takes in what is there whole; false if that ended the line.
+    fn read_reply(&mut self, id: usize) -> bool {
+        while let Some(line) = self.lines.get_mut(id) {
+            let taken = match frame::message(&mut line.inbox) {
+                Ok(None) => return true,
+                Ok(Some(message)) => line.reply.take(message),
+                Err(nonsense) => Err(nonsense),
+            };
+            match (taken, line.course) {
+                (Ok(false), Course::Idle) if line.reply.says_nothing() => {}
+                (Ok(false), Course::Greeting | Course::Sent) => {}
+                (Ok(true), Course::Greeting) => self.welcome(id),
+                (Ok(true), Course::Sent) => self.answered(id),
+                (Err(nonsense), _) => {
+                    debug!(self.log, "host nonsense"; "fault" => nonsense);
+                    self.counters.host_nonsense += 1;
+                    self.break_line(id);
+                    return false;
+                }
+                // An answer to nothing.
+                _ => {
+                    self.counters.host_nonsense += 1;
+                    self.break_line(id);
+                    return false;
+                }
+            }
+        }
+        false
+    }
+
+    /// The line is up: what it was opened for goes out.
+    fn welcome(&mut self, id: usize) {
+        if self.lines[id].reply.unwelcome().is_some() {
+            return self.break_line(id);
+        }
+        self.line_passes(id, Course::Idle, f64::INFINITY);
+        self.send(id);
+    }
+
+    /// The load has its answer; the line is kept.
+    fn answered(&mut self, id: usize) {
+        let line = &mut self.lines[id];
+        let (host, load, since) = (line.host, line.load.take(), line.since);
+        let reply = std::mem::take(&mut line.reply);
+        // Half of what the host allows: one that ends at both sides at once would be a reset.
+        self.line_passes(id, Course::Idle, self.now + self.upkeep.idle / 2.0);
+        self.hosts.all[host].idle.push(id);
+        self.settle(load, host, since, reply.ending(), reply);
+    }
+
+    /// Reports the end of what the line carried.
+    fn settle(&mut self, load: Option<Load>, host: usize, since: f64, ending: Ending, mut reply: Reply) {
+        match load {
+            Some(Load::Statement(stmt)) => {
+                let orphan =
+                    matches!(self.statements.get(stmt).map(|held| held.stage), Some(Stage::Orphaned(_)));
+                if orphan {
+                    self.statements.pass(stmt, Stage::Vacant, &mut self.counters);
+                } else if ending == Ending::Completed {
+                    self.complete(stmt, reply.value());
+                } else {
+                    self.statements.pass(stmt, Stage::Waiting, &mut self.counters);
+                }
+                self.tell_execution(stmt, host, ending, self.now - since, &reply);
+            }
+            Some(Load::Probe) if matches!(ending, Ending::Completed | Ending::Error | Ending::Full) => {
+                let (ending, report) = reply.probed();
+                self.tell_probe(host, ending, report);
+            }
+            Some(Load::Probe) => self.tell_probe(host, ending, Report::default()),
+            None => {}
+        }
+    }
+
+    /// The connection failed, broke, ended or talks nonsense.
+    fn break_line(&mut self, id: usize) {
+        let line = &mut self.lines[id];
+        let (host, load, since, course) = (line.host, line.load.take(), line.since, line.course);
+        let reply = std::mem::take(&mut line.reply);
+        match course {
+            Course::Dialing | Course::Greeting => self.counters.lines_failed += 1,
+            Course::Idle => self.counters.lines_ended += 1,
+            _ => {}
+        }
+        let ending = match course {
+            Course::Greeting => reply.unwelcome().unwrap_or(Ending::ConnectFailed),
+            Course::Sent if reply.is_served() => Ending::Completed,
+            course => course.broken(),
+        };
+        self.close_line(id);
+        self.settle(load, host, since, ending, reply);
+    }
+
+    pub fn line_is_due(&mut self, id: usize) {
+        let Some(line) = self.lines.get_mut(id) else { return };
+        line.alarm = None;
+        match line.course {
+            Course::Idle => {
+                self.counters.lines_idled += 1;
+                line.outbox.push(frame::TERMINATE.clone());
+                self.flush(id);
+                self.close_line(id);
+            }
+            Course::Dialing | Course::Greeting if self.now < line.until || line.load == Some(Load::Probe) => {
+                self.break_line(id);
+            }
+            _ => self.give_up_line(id, Ending::TimedOut),
+        }
+    }
+
+    /// Stops waiting for what the line carries, which closes it: it may still be running there.
+    fn give_up_line(&mut self, id: usize, late: Ending) {
+        let line = &mut self.lines[id];
+        let (host, load, since) = (line.host, line.load.take(), line.since);
+        let ending = line.course.given_up(late);
+        self.close_line(id);
+        self.settle(load, host, since, ending, Reply::default());
+    }
+
+    pub fn recall(&mut self, stmt: usize) {
+        if let Some(Stage::Executing(line)) = self.statements.get(stmt).map(|held| held.stage) {
+            self.give_up_line(line, Ending::Cancelled);
+        }
+    }
+
+    fn close_line(&mut self, id: usize) {
+        self.line_passes(id, Course::Closed, f64::INFINITY);
+        let line = self.lines.remove(id);
+        self.handle.remove(line.token);
+        self.hosts.all[line.host].idle.retain(|idle| *idle != id);
+    }
+
+    pub fn close_idle_of(&mut self, host: usize) {
+        while let Some(id) = self.hosts.all[host].idle.pop() {
+            self.close_line(id);
+        }
+    }
+
+    /// Closes the line that has stood idle for longest, for the sake of another host.
+    fn close_idle_line(&mut self) -> bool {
+        let oldest = self.hosts.all.iter().filter_map(|host| host.idle.first().copied());
+        let oldest = oldest.min_by(|a, b| self.lines[*a].since.total_cmp(&self.lines[*b].since));
+        if let Some(id) = oldest {
+            self.close_line(id);
+        }
+        oldest.is_some()
+    }
+
+    fn tell_execution(&mut self, stmt: usize, host: usize, ending: Ending, took: f64, reply: &Reply) {
+        let counter = match ending {
+            Ending::Completed => &mut self.counters.ended_completed,
+            Ending::Error => &mut self.counters.ended_error,
+            Ending::Full => &mut self.counters.ended_full,
+            Ending::TimedOut => &mut self.counters.ended_timed_out,
+            Ending::ConnectFailed => &mut self.counters.ended_connect_failed,
+            Ending::Reset => &mut self.counters.ended_reset,
+            Ending::Cancelled => &mut self.counters.ended_recalled,
+            Ending::NeverSent => &mut self.counters.ended_never_sent,
+            Ending::Miss => &mut self.counters.ended_miss,
+        };
+        *counter += 1;
+        self.tell(News::Execution { stmt, host, ending, took, note: reply.note, report: reply.report });
+    }
+
+    fn tell_probe(&mut self, host: usize, ending: Ending, report: Report) {
+        self.counters.probes_failed += u64::from(ending != Ending::Completed);
+        self.tell(News::Probe { host, ending, report });
+    }
+}
--- /dev/null
+++ b/crates/ottersill/src/wire/mod.rs
@@ -0,0 +1,11 @@
+//! What is spoken on the wire: PostgreSQL's protocol to clients and hosts, discovery's HTTP, the sockets.
+
+pub mod client_side;
+pub mod discovery;
+pub mod exchange;
+pub mod frame;
+pub mod host_side;
+pub mod http;
+pub mod reply;
+pub mod socket;
+pub mod statement;
--- /dev/null
+++ b/crates/ottersill/src/wire/reply.rs
@@ -0,0 +1,124 @@
+//! A host's answer, gathered message by message as slices of the buffer that they were read into.
+
+use bytes::Bytes;
+use ottersill_core::interface::{Ending, Report, Role};
+
+use crate::wire::frame::{Message, Nonsense};
+
+#[derive(Clone, Debug, Default)]
+pub struct Reply {
+    description: Option<Bytes>,
+    row: Option<Message>,
+    rows: usize,
+    complete: Option<Bytes>,
+    code: Option<[u8; 5]>,
+    pub note: Report,
+    pub report: Option<Report>,
+}
+
+/// Role and position, as `recovery` and `lsn_ms` tell them. Positions are Unix milliseconds.
+fn note(note: &mut Report, name: &[u8], value: &str) {
+    match name {
+        b"recovery" => {
+            note.role = match value {
+                "off" => Some(Role::Primary),
+                "on" => Some(Role::Replica),
+                _ => note.role,
+            }
+        }
+        b"lsn_ms" => note.lsn = value.parse().ok().filter(|ms| *ms > 0.0).map(|ms: f64| ms / 1000.0),
+        _ => {}
+    }
+}
+
+/// A load report, `x0=…,x1=…`: its position is in Unix seconds.
+fn report(text: &str) -> Report {
+    let mut report = Report::default();
+    for (name, value) in text.split(',').filter_map(|pair| pair.trim().split_once('=')) {
+        let Ok(value) = value.parse::<f64>() else { continue };
+        match name {
+            "x0" => report.lsn = Some(value),
+            "x1" => report.role = Some(if value > 0.5 { Role::Primary } else { Role::Replica }),
+            _ => {}
+        }
+    }
+    report
+}
+
+impl Reply {
+    /// Takes one message in; true with ReadyForQuery, which ends the answer.
+    pub fn take(&mut self, message: Message) -> Result<bool, Nonsense> {
+        match message.tag() {
+            b'T' => self.description = Some(message.0),
+            b'D' => {
+                self.rows += 1;
+                self.row = Some(message);
+            }
+            b'C' | b'I' => self.complete = Some(message.0),
+            b'E' => {
+                let code = message.field(b'C').and_then(|code| code.try_into().ok());
+                self.code = Some(code.ok_or("an error without its code")?);
+            }
+            b'S' => {
+                let (name, value) = message.parameter().ok_or("a parameter without its value")?;
+                let value = std::str::from_utf8(value).map_err(|_| "a parameter that is not UTF-8")?;
+                if name == b"health" {
+                    self.report = Some(report(value));
+                }
+                note(&mut self.note, name, value);
+            }
+            b'Z' => return Ok(true),
+            b'N' | b'R' | b'K' | b'A' => {}
+            _ => return Err("a message that answers no simple query"),
+        }
+        Ok(false)
+    }
+
+    /// Nothing but notices and parameters, which a host may send at any time.
+    pub fn says_nothing(&self) -> bool {
+        self.code.is_none() && self.rows == 0 && self.description.is_none() && self.complete.is_none()
+    }
+
+    /// The row is there whole, whatever comes after it.
+    pub fn is_served(&self) -> bool {
+        self.code.is_none() && self.rows == 1 && self.description.is_some() && self.complete.is_some()
+    }
+
+    /// What an execution has come to. 53300 promises that nothing ran, and no other code does but the misses.
+    pub fn ending(&self) -> Ending {
+        match self.code.as_ref() {
+            Some(b"53300") => Ending::Full,
+            Some(b"25006" | b"72000") => Ending::Miss,
+            Some(_) => Ending::Error,
+            None if self.is_served() => Ending::Completed,
+            // Whatever it did, it gave nothing that could be passed on.
+            None => Ending::Error,
+        }
+    }
+
+    /// What the setting up of a connection has come to, if the host said no: nothing was sent on it.
+    pub fn unwelcome(&self) -> Option<Ending> {
+        let code = self.code.as_ref()?;
+        Some(if code == b"53300" { Ending::Full } else { Ending::ConnectFailed })
+    }
+
+    /// What a probe has come to, and what it reports; 57P03 turns a probe away.
+    pub fn probed(&self) -> (Ending, Report) {
+        match (self.code.as_ref(), self.health()) {
+            (Some(b"53300" | b"57P03"), _) => (Ending::Full, Report::default()),
+            (None, Some(report)) => (Ending::Completed, report),
+            _ => (Ending::Error, Report::default()),
+        }
+    }
+
+    /// What a client is sent, just as the host gave it.
+    pub fn value(&mut self) -> [Bytes; 3] {
+        let row = self.row.take().map(|row| row.0);
+        [self.description.take(), row, self.complete.take()].map(Option::unwrap_or_default)
+    }
+
+    fn health(&self) -> Option<Report> {
+        let row = self.row.as_ref().filter(|_| self.is_served())?;
+        Some(report(std::str::from_utf8(row.column()?).ok()?))
+    }
+}
--- /dev/null
+++ b/crates/ottersill/src/wire/socket.rs
@@ -0,0 +1,140 @@
+//! Reading and writing sockets that never block.
+
+use std::collections::VecDeque;
+use std::io::{self, ErrorKind, IoSlice, Read, Write};
+use std::net::SocketAddr;
+
+use bytes::{Buf, Bytes, BytesMut};
+use socket2::{Domain, Protocol, Socket, Type};
+
+/// Read at once, a page: a statement and its answer are shorter.
+const CHUNK: usize = 4096;
+/// Reads of one connection in a row, so that one that talks a lot holds up no other.
+const READS: usize = 16;
+/// Slices written at once.
+const SLICES: usize = 16;
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Got {
+    /// All that was there.
+    All,
+    /// There may be more: the buffer is full, or it is others' turn.
+    More,
+    /// The other side has ended.
+    End,
+}
+
+/// Reads until `most` bytes are in the buffer or the socket is dry. A short read does not prove that: an end that
+/// came with the data raises no readiness of its own.
+pub fn read(mut socket: &Socket, inbox: &mut BytesMut, most: usize) -> io::Result<Got> {
+    for _ in 0..READS {
+        let from = inbox.len();
+        if from >= most {
+            return Ok(Got::More);
+        }
+        inbox.resize(from + CHUNK, 0);
+        let read = socket.read(&mut inbox[from..]);
+        inbox.truncate(from + *read.as_ref().unwrap_or(&0));
+        match read {
+            Ok(0) => return Ok(Got::End),
+            Ok(_) => {}
+            Err(e) if e.kind() == ErrorKind::WouldBlock => return Ok(Got::All),
+            Err(e) if e.kind() == ErrorKind::Interrupted => {}
+            Err(e) => return Err(e),
+        }
+    }
+    Ok(Got::More)
+}
+
+/// Slices on their way out; emptied by `flush`.
+#[derive(Debug, Default)]
+pub struct Outbox {
+    slices: VecDeque<Bytes>,
+}
+
+impl Outbox {
+    pub fn push(&mut self, slice: Bytes) {
+        if !slice.is_empty() {
+            self.slices.push_back(slice);
+        }
+    }
+
+    pub fn is_empty(&self) -> bool {
+        self.slices.is_empty()
+    }
+
+    /// Writes what the socket takes; true once nothing is left.
+    pub fn flush(&mut self, mut socket: &Socket) -> io::Result<bool> {
+        while !self.slices.is_empty() {
+            let parts: Vec<IoSlice> = self.slices.iter().take(SLICES).map(|s| IoSlice::new(s)).collect();
+            match socket.write_vectored(&parts) {
+                Ok(written) => self.written(written),
+                Err(e) if e.kind() == ErrorKind::WouldBlock => return Ok(false),
+                Err(e) if e.kind() == ErrorKind::Interrupted => {}
+                Err(e) => return Err(e),
+            }
+        }
+        Ok(true)
+    }
+
+    fn written(&mut self, mut bytes: usize) {
+        while let Some(front) = self.slices.front_mut() {
+            if front.len() > bytes {
+                front.advance(bytes);
+                return;
+            }
+            bytes -= front.len();
+            self.slices.pop_front();
+        }
+    }
+
+    /// What is left to write, in one piece.
+    pub fn rest(&self) -> Vec<u8> {
+        self.slices.iter().flat_map(|slice| slice.iter().copied()).collect()
+    }
+}
+
+fn open(at: SocketAddr) -> io::Result<Socket> {
+    let socket = Socket::new(Domain::for_address(at), Type::STREAM, Some(Protocol::TCP))?;
+    socket.set_nonblocking(true)?;
+    Ok(socket)
+}
+
+/// Starts to connect; the socket becomes writable when that has ended, well or not.
+pub fn dial(to: SocketAddr) -> io::Result<Socket> {
+    let socket = open(to)?;
+    socket.set_tcp_nodelay(true)?;
+    match socket.connect(&to.into()) {
+        Err(e) if e.raw_os_error() != Some(rustix::io::Errno::INPROGRESS.raw_os_error()) => Err(e),
+        _ => Ok(socket),
+    }
+}
+
+pub fn listen(at: SocketAddr, backlog: usize) -> io::Result<Socket> {
+    let socket = open(at)?;
+    socket.set_reuse_address(true)?;
+    socket.bind(&at.into())?;
+    socket.listen(backlog as i32)?;
+    Ok(socket)
+}
+
+/// The next client, if one is there.
+pub fn accept(listener: &Socket) -> io::Result<Option<Socket>> {
+    match listener.accept() {
+        Ok((socket, _)) => {
+            socket.set_nonblocking(true)?;
+            socket.set_tcp_nodelay(true)?;
+            Ok(Some(socket))
+        }
+        Err(e) if e.kind() == ErrorKind::WouldBlock => Ok(None),
+        Err(e) => Err(e),
+    }
+}
+
+/// Whether a dialled connection is up by now; an error says that it never will be.
+pub fn is_up(socket: &Socket) -> io::Result<bool> {
+    match socket.take_error()? {
+        Some(fault) => Err(fault),
+        None => Ok(socket.peer_addr().is_ok()),
+    }
+}
--- /dev/null
+++ b/crates/ottersill/src/wire/statement.rs
@@ -0,0 +1,89 @@
+//! A statement's text: what its comment says, and the same text again with another time left.
+
+use std::hash::{DefaultHasher, Hash, Hasher};
+use std::ops::Range;
+
+use bytes::Bytes;
+
+use crate::wire::frame;
+use crate::wire::socket::Outbox;
+
+/// A slice of the buffer it was read into. It is sent on as it came, but for the digits of `d`.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Text {
+    whole: Bytes,
+    digits: Range<usize>,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Said<'a> {
+    pub workload: &'a str,
+    pub cluster: u64,
+    /// Seconds for which the client waits.
+    pub time_left: f64,
+    /// The position that a session's read has to see, in Unix seconds.
+    pub after: Option<f64>,
+    pub repeat: bool,
+    pub session: Option<u64>,
+}
+
+impl Text {
+    /// Reads the comment at the end of a query's text; the error says what it lacks.
+    pub fn read(whole: &Bytes) -> Result<(Text, Said<'_>), &'static str> {
+        let text = std::str::from_utf8(whole).map_err(|_| "the statement is not UTF-8")?;
+        let open = text.rfind("/*").ok_or("the statement has no comment")? + 2;
+        let close = open + text[open..].find("*/").ok_or("the comment does not end")?;
+        let (mut id, mut workload, mut cluster, mut time_left) = (None, None, None, None);
+        let (mut after, mut repeat, mut digits) = (None, false, 0..0);
+        let mut at = open;
+        for pair in text[open..close].split(',') {
+            let (start, pair) = (at + pair.len() - pair.trim_start().len(), pair.trim());
+            at = start.max(at) + text[start..].find(',').map_or(pair.len(), |comma| comma + 1);
+            let Some((name, value)) = pair.split_once('=') else { continue };
+            match name {
+                "id" => id = Some(value),
+                "c" => workload = Some(value),
+                "cluster" => cluster = value.parse().ok(),
+                "d" => {
+                    time_left = value.parse::<u32>().ok().map(|ms| f64::from(ms) / 1000.0);
+                    let from = start + 2;
+                    digits = from..from + value.len();
+                }
+                "after" => after = value.parse::<f64>().ok().filter(|ms| *ms > 0.0).map(|ms| ms / 1000.0),
+                "r" => repeat = value == "1",
+                _ => {}
+            }
+        }
+        id.ok_or("the comment has no id")?;
+        let said = Said {
+            workload: workload.ok_or("the comment has no c")?,
+            cluster: cluster.ok_or("the comment has no cluster, or one that is no number")?,
+            time_left: time_left.ok_or("the comment has no d, or one that is no number")?,
+            after,
+            repeat,
+            session: session(text),
+        };
+        Ok((Text { whole: whole.clone(), digits }, said))
+    }
+
+    /// Writes the query with that many milliseconds left. Only `d` differs from what the client sent.
+    pub fn send(&self, left_ms: u64, outbox: &mut Outbox) {
+        let digits = left_ms.to_string();
+        let length = self.whole.len() - self.digits.len() + digits.len() + 1;
+        outbox.push(Bytes::copy_from_slice(&frame::query_head(length)));
+        outbox.push(self.whole.slice(..self.digits.start));
+        outbox.push(Bytes::from(digits));
+        outbox.push(self.whole.slice(self.digits.end..));
+        outbox.push(Bytes::from_static(b"\0"));
+    }
+}
+
+/// The first quoted text is the key, which names the session where there are any.
+fn session(text: &str) -> Option<u64> {
+    let key = text.split('\'').nth(1)?;
+    Some(u64::from_str_radix(key, 16).unwrap_or_else(|_| {
+        let mut hasher = DefaultHasher::new();
+        key.hash(&mut hasher);
+        hasher.finish()
+    }))
+}
--- a/crates/drill/src/terms.rs
+++ b/crates/terms/src/lib.rs
@@ -1,4 +1,5 @@
-//! The first message's settings, as the module's [`Terms`].
+//! The settings that every router is handed, read as the module's [`Terms`]: the one reader that the bench's
+//! adapter and the router on sockets share.
 
 use ottersill_core::interface::{Effect, Needs, Reports, Terms, Within, Workload};
 use serde::Deserialize;
@@ -54,6 +55,9 @@
     retry_after: bool,
     #[serde(default)]
     max_retry_after_ms: f64,
+    /// Of use only where there are sockets.
+    connect_timeout_ms: Option<f64>,
+    keepalive_ms: Option<f64>,
 }
 
 #[derive(Deserialize)]
@@ -73,7 +77,16 @@
     fields: Vec<String>,
 }
 
-/// What the adapter itself keeps of the settings.
+/// What the settings say of connections to hosts, in seconds.
+#[derive(Clone, Copy, Debug)]
+pub struct Upkeep {
+    /// One that is not up by then never comes up.
+    pub connect: f64,
+    /// A host closes one that has stood idle for this long.
+    pub idle: f64,
+}
+
+/// What a front itself keeps of the settings.
 pub struct Names {
     pub workloads: Vec<String>,
     pub tenants: Vec<String>,
@@ -120,6 +133,18 @@
 }
 
 impl BootInfo {
+    /// What a router on sockets needs besides the terms.
+    pub fn upkeep(&self) -> Result<Upkeep, String> {
+        let seconds = |field: &str, said: Option<f64>| {
+            said.map(|ms| ms / 1000.0).ok_or_else(|| format!("policy_limits: missing field `{field}`"))
+        };
+        let limits = &self.policy_limits;
+        Ok(Upkeep {
+            connect: seconds("connect_timeout_ms", limits.connect_timeout_ms)?,
+            idle: seconds("keepalive_ms", limits.keepalive_ms)?,
+        })
+    }
+
     pub fn terms(self, seed: u64) -> Result<(Terms, Names), String> {
         let (domain, limits, rules) = (&self.domain, &self.policy_limits, &self.rules);
         if domain.class_read.len() != self.profiles.len()
