--- a/crates/core/tests/common/mod.rs
+++ b/crates/core/tests/common/mod.rs
@@ -1,4 +1,5 @@
 //! A small group under one router, and a front that writes down what it is asked.
+#![allow(dead_code, reason = "each test binary uses its own part")]
 
 use ottersill_core::Router;
 use ottersill_core::interface::*;
@@ -79,6 +80,15 @@
     }
 }
 
+pub fn statement(workload: usize, time_left: f64) -> Statement {
+    Statement { workload, group: 0, tenant: None, session: None, time_left, since_write: None, repeat: false }
+}
+
+pub fn listed(host: usize, standing: Standing) -> Listed {
+    let order = [3, 1, 0, 2][host];
+    Listed { host, order, group: 0, site: Some(0), size: 1.0, standing, started_at: None }
+}
+
 pub struct World {
     pub router: Router,
     pub book: Book,
@@ -106,8 +116,7 @@
     }
 
     pub fn list(&mut self, host: usize, standing: Standing, started_at: Option<f64>) {
-        let order = [3, 1, 0, 2][host];
-        let listed = Listed { host, order, group: 0, site: Some(0), size: 1.0, standing, started_at };
+        let listed = Listed { started_at, ..listed(host, standing) };
         self.router.hosts(self.now, &[listed], &mut self.book);
     }
 
@@ -127,15 +136,7 @@
     }
 
     pub fn ask_with(&mut self, workload: usize, time_left: f64) -> usize {
-        let stmt = Statement {
-            workload,
-            group: 0,
-            tenant: None,
-            session: None,
-            time_left,
-            since_write: None,
-            repeat: false,
-        };
+        let stmt = statement(workload, time_left);
         self.next += 1;
         self.router.statement(self.now, self.next - 1, stmt, &mut self.book);
         self.next - 1
--- a/crates/ottersill/src/lifecycle/charter.rs
+++ b/crates/ottersill/src/lifecycle/charter.rs
@@ -33,13 +33,14 @@
 }
 
 impl Limits {
-    /// Every client may have one execution out, so half goes to clients and half to hosts.
+    /// Every client may have one execution out, so half goes to clients and half to hosts. A quarter of the
+    /// memory is for statements; answers on both sides and the program itself get the rest.
     pub fn berths(&self) -> Result<Berths, String> {
         let left = self.sockets.saturating_sub(OWN_DESCRIPTORS);
         if left < 2 {
             return Err(format!("limits.sockets: expected over {OWN_DESCRIPTORS}, found {}", self.sockets));
         }
-        Ok(Berths { clients: left / 2, lines: left - left / 2 })
+        Ok(Berths { clients: left / 2, lines: left - left / 2, bytes: (self.memory_mb << 20) / 4 })
     }
 }
 
--- a/crates/ottersill/src/lifecycle/serve.rs
+++ b/crates/ottersill/src/lifecycle/serve.rs
@@ -55,7 +55,8 @@
     }
     exchange.watch_discovery();
     info!(exchange.log, "started"; "listen" => %charter.listen, "discovery" => %charter.discovery);
-    let door = Door { at: charter.listen, backlog: berths.clients };
+    // A full backlog drops the first packet of a connection, which is then sent again after a second.
+    let door = Door { at: charter.listen, backlog: charter.limits.sockets };
     let mut phase = Phase::Starting;
     while phase != Phase::Done {
         phase = advance(phase, &mut exchange, &door, longest)?;
@@ -94,11 +95,13 @@
         Phase::Starting if exchange.stop_asked => Phase::Done,
         // Ready only once something can be served: the front asks as soon as it gets through.
         Phase::Starting if !exchange.hosts.all.is_empty() => {
-            let listening = socket::listen(door.at, door.backlog);
-            let attended = listening.and_then(|listener| exchange.attend(listener, Party::Listener));
-            exchange.listener = Some(attended.map_err(|e| format!("listen on {}: {e}", door.at))?);
+            let told = |e| format!("listen on {}: {e}", door.at);
+            let listener = socket::listen(door.at, door.backlog).map_err(told)?;
+            let at = listener.local_addr().map_err(told)?.as_socket();
+            exchange.listener = Some(exchange.attend(listener, Party::Listener).map_err(told)?);
             exchange.again(Party::Listener);
-            info!(exchange.log, "ready"; "hosts" => exchange.hosts.all.len());
+            let at = at.map_or(door.at.to_string(), |at| at.to_string());
+            info!(exchange.log, "ready"; "listen" => at, "hosts" => exchange.hosts.all.len());
             Phase::Serving
         }
         Phase::Serving if exchange.stop_asked => {
--- a/crates/ottersill/src/memory/clients.rs
+++ b/crates/ottersill/src/memory/clients.rs
@@ -35,10 +35,12 @@
     pub since: f64,
     pub socket: Rc<Socket>,
     pub token: RegistrationToken,
-    /// May hold further queries that a client sent ahead; at most two messages are read ahead.
+    /// May hold further queries that a client sent ahead; at most one message is read ahead.
     pub inbox: BytesMut,
     /// Holds one answer at most, as the next query waits for it to go out.
     pub outbox: Outbox,
     /// More may be there to read, and no further readiness will tell of it.
     pub unread: bool,
+    /// Bytes counted for it in [`Exchange::stored`](crate::wire::exchange::Exchange).
+    pub stored: usize,
 }
--- a/crates/ottersill/src/memory/statements.rs
+++ b/crates/ottersill/src/memory/statements.rs
@@ -68,6 +68,8 @@
                 self.in_hand -= 1;
                 held.text = Text::default();
             }
+            // Never sent again.
+            (_, Stage::Orphaned(_)) => held.text = Text::default(),
             _ => {}
         }
         held.stage = next;
--- a/crates/ottersill/src/wire/client_side.rs
+++ b/crates/ottersill/src/wire/client_side.rs
@@ -1,5 +1,7 @@
 //! Clients: their connections, their queries, their answers.
 
+use std::io::ErrorKind;
+
 use bytes::{Bytes, BytesMut};
 use ottersill_core::facade::News;
 use ottersill_core::interface::Statement;
@@ -18,19 +20,28 @@
 
 impl Exchange {
     pub fn listener_is_ready(&mut self) {
-        let Some((listener, _)) = self.listener.clone() else { return };
-        for _ in 0..ACCEPTS {
+        if self.accept(ACCEPTS) {
+            self.again(Party::Listener);
+        }
+    }
+
+    /// Accepts at most so many; true if more may be at the door.
+    pub fn accept(&mut self, most: usize) -> bool {
+        let Some((listener, _)) = self.listener.clone() else { return false };
+        for _ in 0..most {
             match socket::accept(&listener) {
                 Ok(Some(socket)) => self.admit(socket),
-                Ok(None) => return,
-                // One that broke before it was accepted, or no descriptor for now: others may fare better later.
+                Ok(None) => return false,
+                // It broke before it was accepted.
+                Err(e) if e.kind() == ErrorKind::ConnectionAborted => {}
+                // Tried again with the next client, as trying at once would keep the loop busy for nothing.
                 Err(e) => {
                     warn!(self.log, "accept"; "fault" => %e);
-                    return;
+                    return false;
                 }
             }
         }
-        self.again(Party::Listener);
+        true
     }
 
     fn admit(&mut self, socket: Socket) {
@@ -47,7 +58,16 @@
         if let Ok((socket, token)) = self.attend(socket, Party::Client(id)) {
             let (inbox, outbox) = (BytesMut::new(), Outbox::default());
             let (session, since) = (Session::Greeting, self.now);
-            self.clients.insert(Client { session, since, socket, token, inbox, outbox, unread: false });
+            self.clients.insert(Client {
+                session,
+                since,
+                socket,
+                token,
+                inbox,
+                outbox,
+                unread: false,
+                stored: 0,
+            });
             self.client_is_ready(id);
         }
     }
@@ -62,7 +82,8 @@
 
     /// Closes the client connection that has stood idle for longest.
     fn close_idle_client(&mut self) -> bool {
-        let idle = self.clients.iter().filter(|(_, c)| c.session == Session::Idle && c.inbox.is_empty());
+        let idle = |c: &Client| c.session == Session::Idle && c.inbox.is_empty() && c.outbox.is_empty();
+        let idle = self.clients.iter().filter(|(_, c)| idle(c));
         let oldest = idle.min_by(|a, b| a.1.since.total_cmp(&b.1.since)).map(|(id, _)| id);
         if let Some(id) = oldest {
             self.counters.clients_closed_idle += 1;
@@ -87,6 +108,7 @@
     /// Ends the connection; a statement of it that is in hand has lost its client.
     fn close_client(&mut self, id: usize) {
         let client = self.clients.remove(id);
+        self.stored -= client.stored;
         self.handle.remove(client.token);
         if let Session::Busy(stmt) = client.session {
             self.counters.clients_left += 1;
@@ -97,14 +119,30 @@
             };
             self.statements.pass(stmt, next, &mut self.counters);
             self.tell(News::ClientGone(stmt));
+            if let Stage::Orphaned(line) = next {
+                // Nobody waits for it any more: what is not on its way stays here.
+                self.unload(line);
+            }
         }
     }
 
+    /// Counts what is stored for a client: what was read ahead, and its statement. Buffers grow by doubling.
+    fn weigh(&mut self, id: usize) {
+        let Some(client) = self.clients.get_mut(id) else { return };
+        let text = match client.session {
+            Session::Busy(stmt) => self.statements.get(stmt).map_or(0, |held| held.text.len()),
+            _ => 0,
+        };
+        let stored = 2 * (client.inbox.len() + text);
+        self.stored = self.stored + stored - client.stored;
+        client.stored = stored;
+    }
+
     pub fn client_is_ready(&mut self, id: usize) {
         let Some(client) = self.clients.get_mut(id) else { return };
         let read = client.outbox.flush(&client.socket).and_then(|_| {
-            // Twice the longest message: a whole one ahead of the one in hand, then the client has to wait.
-            socket::read(&client.socket, &mut client.inbox, 2 * frame::LONGEST)
+            // One message ahead of the one in hand, then the client has to wait.
+            socket::read(&client.socket, &mut client.inbox, frame::LONGEST)
         });
         match read {
             Ok(Got::All) => client.unread = false,
@@ -117,7 +155,9 @@
 
     /// Takes in what is there whole, one query at a time: each waits for the answer before it to go out.
     fn read_queries(&mut self, id: usize) {
-        while let Some(client) = self.clients.get_mut(id) {
+        loop {
+            self.weigh(id);
+            let Some(client) = self.clients.get_mut(id) else { return };
             if !client.outbox.is_empty() {
                 return;
             }
@@ -129,6 +169,13 @@
             };
             match step {
                 Ok(Some(())) => {}
+                // A long statement that there is no room for is turned away before it is whole.
+                Ok(None)
+                    if self.stored > self.berths.bytes && self.clients[id].inbox.len() > frame::SHORT =>
+                {
+                    self.counters.clients_turned_away += 1;
+                    self.leave(id, Code::TooMany, "no memory is left for this statement");
+                }
                 Ok(None) => {
                     if self.clients[id].unread {
                         self.again(Party::Client(id));
@@ -207,6 +254,10 @@
     fn dismiss(&mut self, id: usize, code: Code, text: &str) {
         self.counters.client_nonsense += 1;
         info!(self.log, "client dismissed"; "reason" => text);
+        self.leave(id, code, text);
+    }
+
+    fn leave(&mut self, id: usize, code: Code, text: &str) {
         self.session_passes(id, Session::Leaving);
         self.say(id, [frame::error("FATAL", code, text, None)]);
     }
@@ -230,6 +281,7 @@
         if self.retiring {
             self.session_passes(client, Session::Leaving);
         }
+        self.weigh(client);
         let client_at = &self.clients[client];
         if self.retiring || client_at.unread || !client_at.inbox.is_empty() {
             self.again(Party::Client(client));
--- a/crates/ottersill/src/wire/exchange.rs
+++ b/crates/ottersill/src/wire/exchange.rs
@@ -53,11 +53,13 @@
     Listener,
 }
 
-/// How many connections the limit on descriptors leaves.
+/// How many connections the limit on descriptors leaves, and how many bytes the limit on memory.
 #[derive(Clone, Copy, Debug)]
 pub struct Berths {
     pub clients: usize,
     pub lines: usize,
+    /// For statements of clients, whole or not.
+    pub bytes: usize,
 }
 
 pub struct Exchange {
@@ -77,6 +79,8 @@
     pub clock: Clock,
     /// When the sockets were last found ready: what is read counts as having come then.
     pub now: f64,
+    /// Bytes of statements, whole or not; falls with each answer and each client that leaves.
+    pub stored: usize,
     pub listener: Option<(Rc<Socket>, RegistrationToken)>,
     /// After SIGTERM and the time in which clients still come: idle connections are closed.
     pub retiring: bool,
@@ -115,6 +119,7 @@
             handle,
             clock,
             now,
+            stored: 0,
             listener: None,
             retiring: false,
             stop_asked: false,
@@ -220,7 +225,8 @@
 
     /// Takes in who is at the door, closes it, and from now on ends client connections once they idle.
     pub fn retire(&mut self) {
-        self.listener_is_ready();
+        // Whom the machine has let in may have sent a statement, which then counts as taken.
+        self.accept(usize::MAX);
         if let Some((_, token)) = self.listener.take() {
             self.handle.remove(token);
         }
--- a/crates/ottersill/src/wire/frame.rs
+++ b/crates/ottersill/src/wire/frame.rs
@@ -5,7 +5,9 @@
 /// The protocol page's bound on values.
 const VALUE: usize = 64 * 1024;
 /// A value is written with two digits a byte, beside its statement.
-pub const LONGEST: usize = 4 * VALUE;
+pub const LONGEST: usize = 2 * VALUE + 4096;
+/// Nearly every statement is shorter; buffers of that size are no burden.
+pub const SHORT: usize = 4096;
 /// Messages of a startup hold a few names.
 const LONGEST_STARTUP: usize = 10_000;
 
@@ -81,7 +83,7 @@
 }
 
 pub fn startup(inbox: &mut BytesMut) -> Result<Option<Startup>, Nonsense> {
-    if inbox.len() < 8 {
+    if inbox.len() < 4 {
         return Ok(None);
     }
     let whole = length(inbox);
--- a/crates/ottersill/src/wire/host_side.rs
+++ b/crates/ottersill/src/wire/host_side.rs
@@ -1,9 +1,11 @@
 //! Hosts: the lines to them, and the executions and probes that these carry.
 
+use std::io;
+
 use bytes::BytesMut;
 use ottersill_core::facade::News;
 use ottersill_core::interface::{Ending, Report};
-use slog::debug;
+use slog::info;
 
 use crate::memory::alarms::Alarm;
 use crate::memory::lines::{Course, Line, Load};
@@ -60,15 +62,19 @@
             return Ok(id);
         }
         let dial = self.hosts.all[host].dial.ok_or(Ending::ConnectFailed)?;
-        if self.lines.len() >= self.berths.lines && !self.close_idle_line() {
+        // One for a probe of each host is kept back, as what can't be probed can't be judged.
+        let kept_back = if load == Load::Probe { 0 } else { self.hosts.all.len().min(self.berths.lines / 2) };
+        if self.lines.len() + kept_back >= self.berths.lines && !self.close_idle_line() {
             self.counters.lines_wanting += 1;
             return Err(Ending::NeverSent);
         }
         let id = self.lines.vacant_key();
         let opened = socket::dial(dial).and_then(|socket| self.attend(socket, Party::Line(id)));
-        let (socket, token) = opened.map_err(|_| {
+        let (socket, token) = opened.map_err(|fault| {
             self.counters.lines_failed += 1;
-            Ending::ConnectFailed
+            self.log_failed(host, &fault);
+            // What this machine lacks says nothing of the host.
+            if socket::is_lack(&fault) { Ending::NeverSent } else { Ending::ConnectFailed }
         })?;
         self.counters.lines_opened += 1;
         let up_by = self.now + self.upkeep.connect;
@@ -82,6 +88,10 @@
         Ok(id)
     }
 
+    fn log_failed(&self, host: usize, fault: &io::Error) {
+        info!(self.log, "no connection"; "host" => self.hosts.all[host].name.as_str(), "fault" => %fault);
+    }
+
     fn load(&mut self, id: usize, load: Load, until: f64) {
         let line = &mut self.lines[id];
         (line.load, line.since, line.until) = (Some(load), self.now, until);
@@ -103,8 +113,10 @@
             None => {}
         }
         self.line_passes(id, Course::Sending, until);
-        self.again(Party::Line(id));
-        self.flush(id);
+        if !self.flush(id) {
+            // Ended from there, where nothing else is in hand.
+            self.again(Party::Line(id));
+        }
     }
 
     /// False if the connection broke.
@@ -128,8 +140,9 @@
                     let until = line.until.min(line.since + self.upkeep.connect);
                     self.line_passes(id, Course::Greeting, until);
                 }
-                Err(e) => {
-                    debug!(self.log, "line failed"; "fault" => %e);
+                Err(fault) => {
+                    let host = line.host;
+                    self.log_failed(host, &fault);
                     return self.break_line(id);
                 }
             }
@@ -137,7 +150,7 @@
         let wrote = self.flush(id);
         let line = &mut self.lines[id];
         // An answer that came before the break still counts.
-        let got = socket::read(&line.socket, &mut line.inbox, 2 * frame::LONGEST);
+        let got = socket::read(&line.socket, &mut line.inbox, frame::LONGEST);
         if !self.read_reply(id) {
             return;
         }
@@ -162,7 +175,7 @@
                 (Ok(true), Course::Greeting) => self.welcome(id),
                 (Ok(true), Course::Sent) => self.answered(id),
                 (Err(nonsense), _) => {
-                    debug!(self.log, "host nonsense"; "fault" => nonsense);
+                    info!(self.log, "host nonsense"; "fault" => nonsense);
                     self.counters.host_nonsense += 1;
                     self.break_line(id);
                     return false;
@@ -178,13 +191,26 @@
         false
     }
 
-    /// The line is up: what it was opened for goes out.
+    /// The line is up: what it was opened for goes out, unless that is over by now.
     fn welcome(&mut self, id: usize) {
         if self.lines[id].reply.unwelcome().is_some() {
+            // ReadyForQuery after an error: nothing that a host of this protocol does.
             return self.break_line(id);
         }
-        self.line_passes(id, Course::Idle, f64::INFINITY);
-        self.send(id);
+        self.rest(id);
+        if self.lines[id].load.is_some() {
+            let host = self.lines[id].host;
+            self.hosts.all[host].idle.pop();
+            self.send(id);
+        }
+    }
+
+    fn rest(&mut self, id: usize) {
+        // Half of what the host allows: one that ends at both sides at once would be a reset.
+        self.line_passes(id, Course::Idle, self.now + self.upkeep.idle / 2.0);
+        let host = self.lines[id].host;
+        self.lines[id].since = self.now;
+        self.hosts.all[host].idle.push(id);
     }
 
     /// The load has its answer; the line is kept.
@@ -192,9 +218,7 @@
         let line = &mut self.lines[id];
         let (host, load, since) = (line.host, line.load.take(), line.since);
         let reply = std::mem::take(&mut line.reply);
-        // Half of what the host allows: one that ends at both sides at once would be a reset.
-        self.line_passes(id, Course::Idle, self.now + self.upkeep.idle / 2.0);
-        self.hosts.all[host].idle.push(id);
+        self.rest(id);
         self.settle(load, host, since, reply.ending(), reply);
     }
 
@@ -269,8 +293,22 @@
 
     pub fn recall(&mut self, stmt: usize) {
         if let Some(Stage::Executing(line)) = self.statements.get(stmt).map(|held| held.stage) {
-            self.give_up_line(line, Ending::Cancelled);
+            if !self.unload(line) {
+                self.give_up_line(line, Ending::Cancelled);
+            }
+        }
+    }
+
+    /// Takes off a line that is not up yet what it was opened for; false if that is on its way already.
+    pub fn unload(&mut self, id: usize) -> bool {
+        let line = &mut self.lines[id];
+        let on_shore = matches!(line.course, Course::Dialing | Course::Greeting);
+        if on_shore {
+            let (host, load, since) = (line.host, line.load.take(), line.since);
+            line.until = f64::INFINITY;
+            self.settle(load, host, since, Ending::NeverSent, Reply::default());
         }
+        on_shore
     }
 
     fn close_line(&mut self, id: usize) {
--- a/crates/ottersill/src/wire/socket.rs
+++ b/crates/ottersill/src/wire/socket.rs
@@ -100,6 +100,13 @@
     Ok(socket)
 }
 
+/// Whether the fault lies with what this machine has left, rather than with the other side.
+pub fn is_lack(fault: &io::Error) -> bool {
+    use rustix::io::Errno;
+    let lacks = [Errno::MFILE, Errno::NFILE, Errno::NOBUFS, Errno::NOMEM, Errno::ADDRNOTAVAIL];
+    lacks.iter().any(|lack| fault.raw_os_error() == Some(lack.raw_os_error()))
+}
+
 /// Starts to connect; the socket becomes writable when that has ended, well or not.
 pub fn dial(to: SocketAddr) -> io::Result<Socket> {
     let socket = open(to)?;
--- a/crates/ottersill/src/wire/statement.rs
+++ b/crates/ottersill/src/wire/statement.rs
@@ -37,9 +37,9 @@
         let (mut after, mut repeat, mut digits) = (None, false, 0..0);
         let mut at = open;
         for pair in text[open..close].split(',') {
-            let (start, pair) = (at + pair.len() - pair.trim_start().len(), pair.trim());
-            at = start.max(at) + text[start..].find(',').map_or(pair.len(), |comma| comma + 1);
-            let Some((name, value)) = pair.split_once('=') else { continue };
+            let start = at + pair.len() - pair.trim_start().len();
+            at += pair.len() + 1;
+            let Some((name, value)) = pair.trim().split_once('=') else { continue };
             match name {
                 "id" => id = Some(value),
                 "c" => workload = Some(value),
@@ -66,6 +66,14 @@
         Ok((Text { whole: whole.clone(), digits }, said))
     }
 
+    pub fn len(&self) -> usize {
+        self.whole.len()
+    }
+
+    pub fn is_empty(&self) -> bool {
+        self.whole.is_empty()
+    }
+
     /// Writes the query with that many milliseconds left. Only `d` differs from what the client sent.
     pub fn send(&self, left_ms: u64, outbox: &mut Outbox) {
         let digits = left_ms.to_string();
--- /dev/null
+++ b/crates/ottersill/tests/codec.rs
@@ -0,0 +1,205 @@
+//! What is read off the wire, whatever pieces it comes in.
+
+use bytes::{Bytes, BytesMut};
+use ottersill::lifecycle::charter;
+use ottersill::memory::clients::Session;
+use ottersill::memory::lines::Course;
+use ottersill::memory::statements::Stage;
+use ottersill::wire::frame::{self, Message, Startup};
+use ottersill::wire::http;
+use ottersill::wire::reply::Reply;
+use ottersill::wire::socket::Outbox;
+use ottersill::wire::statement::Text;
+use ottersill_core::interface::{Ending, Role};
+use ottersill_example::message;
+use rstest::rstest;
+
+const READ: &str =
+    "SELECT content FROM kv WHERE name = '1f' /* id=9b1f,c=basket,d=480,cluster=2,after=1767225600123 */";
+
+/// Feeds the bytes cut in two at every place, and gathers what `next` finds.
+fn at_every_cut<T: PartialEq + std::fmt::Debug>(
+    bytes: &[u8],
+    next: impl Fn(&mut BytesMut) -> Option<T>,
+) -> Vec<T> {
+    let all = |cut: usize| {
+        let (mut inbox, mut found) = (BytesMut::new(), Vec::new());
+        for part in [&bytes[..cut], &bytes[cut..]] {
+            inbox.extend_from_slice(part);
+            found.extend(std::iter::from_fn(|| next(&mut inbox)));
+        }
+        found
+    };
+    let whole = all(0);
+    (1..=bytes.len()).for_each(|cut| assert_eq!(all(cut), whole, "cut at {cut}"));
+    whole
+}
+
+#[test]
+fn messages_in_any_pieces() {
+    let mut bytes = message(b'Q', b"\0");
+    bytes.extend(message(b'Q', format!("{READ}\0").as_bytes()));
+    bytes.extend(message(b'X', b""));
+    let found = at_every_cut(&bytes, |inbox| frame::message(inbox).expect("messages"));
+    assert_eq!(found.iter().map(Message::tag).collect::<Vec<_>>(), b"QQX");
+    assert_eq!(found[1].query().as_deref(), Some(READ.as_bytes()));
+}
+
+#[rstest]
+#[case::version_3(&[0, 0, 0, 9, 0, 3, 0, 0, 0], Startup::Version3)]
+#[case::newer_minor(&[0, 0, 0, 8, 0, 3, 0, 2], Startup::Version3)]
+#[case::version_2(&[0, 0, 0, 8, 0, 2, 0, 0], Startup::OtherVersion)]
+#[case::ssl(&[0, 0, 0, 8, 4, 210, 22, 47], Startup::Encryption)]
+#[case::gssenc(&[0, 0, 0, 8, 4, 210, 22, 48], Startup::Encryption)]
+#[case::cancel(&[0, 0, 0, 16, 4, 210, 22, 46, 0, 0, 0, 1, 0, 0, 0, 2], Startup::Cancel)]
+fn startups_in_any_pieces(#[case] bytes: &[u8], #[case] expected: Startup) {
+    assert_eq!(at_every_cut(bytes, |inbox| frame::startup(inbox).expect("a startup")), [expected]);
+}
+
+#[rstest]
+#[case::shorter_than_itself(&[b'Q', 0, 0, 0, 3])]
+#[case::longer_than_any(&[b'Q', 0x7f, 0xff, 0xff, 0xff])]
+#[case::no_protocol(b"GET / HTTP/1.1")]
+fn no_message(#[case] bytes: &[u8]) {
+    assert!(frame::message(&mut BytesMut::from(bytes)).is_err());
+}
+
+#[rstest]
+#[case::shorter_than_itself(&[0, 0, 0, 7])]
+#[case::no_protocol(b"GET / HTTP/1.1")]
+fn no_startup(#[case] bytes: &[u8]) {
+    assert!(frame::startup(&mut BytesMut::from(bytes)).is_err());
+}
+
+#[rstest]
+#[case::length("HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nhello")]
+#[case::chunks("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nhe\r\n3;x=y\r\nllo\r\n0\r\n\r\n")]
+fn responses_in_any_pieces(#[case] text: &str) {
+    let twice = format!("{text}{text}");
+    let found = at_every_cut(twice.as_bytes(), |inbox| http::response(inbox, false).expect("a response"));
+    let bodies: Vec<&[u8]> = found.iter().map(|response| response.body.as_ref()).collect();
+    assert_eq!(bodies, [b"hello", b"hello"]);
+}
+
+#[rstest]
+#[case::no_http("SSH-2.0-x\r\n\r\n")]
+#[case::no_length("HTTP/1.1 200 OK\r\nContent-Length: many\r\n\r\n")]
+#[case::too_long("HTTP/1.1 200 OK\r\nContent-Length: 99999999999\r\n\r\n")]
+#[case::no_chunk("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n")]
+fn no_response(#[case] text: &str) {
+    assert!(http::response(&mut BytesMut::from(text), false).is_err());
+}
+
+#[test]
+fn a_comment_says_what_the_module_needs() {
+    let whole = Bytes::from(READ);
+    let (_, said) = Text::read(&whole).expect("a statement");
+    assert_eq!((said.workload, said.cluster, said.time_left), ("basket", 2, 0.48));
+    assert_eq!((said.after, said.repeat, said.session), (Some(1_767_225_600.123), false, Some(0x1f)));
+}
+
+#[rstest]
+#[case::shorter(READ, 9)]
+#[case::longer(READ, 12345)]
+#[case::d_last("SELECT '/* d=1 */' /* id=1,c=a,cluster=1,k=d=7,r=1, d=750*/", 20)]
+fn only_the_time_left_differs(#[case] text: &str, #[case] left: u64) {
+    let whole = Bytes::copy_from_slice(text.as_bytes());
+    let (read, _) = Text::read(&whole).expect("a statement");
+    let mut outbox = Outbox::default();
+    read.send(left, &mut outbox);
+    let was = if text == READ { "d=480" } else { " d=750" };
+    let now = was.replace(was.trim_start_matches([' ', 'd', '=']), &left.to_string());
+    assert_eq!(outbox.rest(), message(b'Q', format!("{}\0", text.replace(was, &now)).as_bytes()));
+}
+
+#[rstest]
+#[case::no_comment("SELECT 1", "no comment")]
+#[case::no_end("SELECT 1 /* id=1,c=a,d=1,cluster=1", "does not end")]
+#[case::no_id("SELECT 1 /* c=a,d=1,cluster=1 */", "no id")]
+#[case::no_workload("SELECT 1 /* id=1,d=1,cluster=1 */", "no c")]
+#[case::no_time("SELECT 1 /* id=1,c=a,d=soon,cluster=1 */", "no d")]
+#[case::no_cluster("SELECT 1 /* id=1,c=a,d=1,cluster=x */", "no cluster")]
+fn strange_statements(#[case] text: &str, #[case] lack: &str) {
+    let whole = Bytes::copy_from_slice(text.as_bytes());
+    assert!(Text::read(&whole).expect_err("no statement").contains(lack));
+}
+
+type Part = (u8, &'static str);
+
+fn reply(parts: &[Part]) -> Reply {
+    let mut reply = Reply::default();
+    for (tag, body) in parts {
+        reply.take(Message(message(*tag, body.as_bytes()).into())).expect("an answer");
+    }
+    reply
+}
+
+const ROW: [Part; 3] = [(b'T', "\0\x01"), (b'D', "\0\x01\0\0\0\x01v"), (b'C', "SELECT 1\0")];
+
+#[rstest]
+#[case::served(&ROW, Ending::Completed)]
+#[case::no_row(&[ROW[0], ROW[2]], Ending::Error)]
+#[case::two_rows(&[ROW[0], ROW[1], ROW[1], ROW[2]], Ending::Error)]
+#[case::row_then_error(&[ROW[0], ROW[1], (b'E', "CXX000\0\0")], Ending::Error)]
+#[case::read_only(&[(b'E', "SERROR\0C25006\0Mno\0\0")], Ending::Miss)]
+#[case::too_far_behind(&[(b'E', "C72000\0\0")], Ending::Miss)]
+#[case::turned_away(&[(b'E', "C53300\0\0")], Ending::Full)]
+#[case::not_now_proves_nothing(&[(b'E', "C57P03\0\0")], Ending::Error)]
+fn what_comes_back(#[case] parts: &[Part], #[case] expected: Ending) {
+    assert_eq!(reply(parts).ending(), expected);
+}
+
+#[test]
+fn role_and_position_come_in_parameters_and_rows() {
+    let answer =
+        reply(&[(b'S', "recovery\0on\0"), (b'S', "lsn_ms\x001500\0"), (b'S', "health\0x0=2.5,x1=1\0")]);
+    assert_eq!((answer.note.role, answer.note.lsn), (Some(Role::Replica), Some(1.5)));
+    assert_eq!(answer.report.map(|said| (said.role, said.lsn)), Some((Some(Role::Primary), Some(2.5))));
+    let (ending, report) = reply(&[ROW[0], (b'D', "\0\x01\0\0\0\x0bx0=2.5,x1=0"), ROW[2]]).probed();
+    assert_eq!((ending, report.role, report.lsn), (Ending::Completed, Some(Role::Replica), Some(2.5)));
+    assert_eq!(reply(&[(b'E', "C57P03\0\0")]).probed().0, Ending::Full);
+}
+
+/// The proof line: until the last byte is handed over nothing can have run, from then on it may have.
+#[rstest]
+#[case::dialing(Course::Dialing, Ending::ConnectFailed, Ending::NeverSent)]
+#[case::greeting(Course::Greeting, Ending::ConnectFailed, Ending::NeverSent)]
+#[case::sending(Course::Sending, Ending::ConnectFailed, Ending::NeverSent)]
+#[case::sent(Course::Sent, Ending::Reset, Ending::TimedOut)]
+fn the_proof_line(#[case] course: Course, #[case] broken: Ending, #[case] late: Ending) {
+    assert_eq!((course.broken(), course.given_up(Ending::TimedOut)), (broken, late));
+    assert_eq!(broken.never_ran(), late.never_ran());
+}
+
+#[test]
+fn no_state_is_left_but_by_its_ways() {
+    assert!(!Stage::Vacant.may_become(Stage::Executing(1)), "an execution without a statement");
+    assert!(!Stage::Executing(1).may_become(Stage::Executing(2)), "two executions at once");
+    assert!(!Stage::Orphaned(1).may_become(Stage::Waiting), "a further execution for nobody");
+    assert!(!Course::Sent.may_become(Course::Sending), "two loads at once");
+    assert!(!Course::Closed.may_become(Course::Idle));
+    assert!(!Session::Leaving.may_become(Session::Idle));
+    assert!(!Session::Busy(1).may_become(Session::Busy(2)), "two statements at once");
+}
+
+const CHARTER: &str = include_str!("../../../example/router.json");
+
+#[rstest]
+#[case::no_json("{", "EOF")]
+#[case::no_name("{}", "missing field `name`")]
+#[case::bad_address(r#"{"name":"a","listen":"here"}"#, "listen: ")]
+#[case::bad_seed(r#"{"name":"a","seed":"xyz"}"#, "seed: expected a hexadecimal number")]
+fn a_charter_that_lacks_something_is_named(#[case] json: &str, #[case] says: &str) {
+    let fault = charter::read(json.as_bytes()).err().expect("a fault");
+    assert!(fault.contains(says), "{fault}");
+}
+
+#[rstest]
+#[case::usual(1024, Some(1006))]
+#[case::hardly_any(20, Some(2))]
+#[case::none(19, None)]
+fn connections_are_counted_against_the_limit(#[case] sockets: usize, #[case] expected: Option<usize>) {
+    let mut charter = charter::read(CHARTER.as_bytes()).expect("the example's charter");
+    charter.limits.sockets = sockets;
+    assert_eq!(charter.limits.berths().ok().map(|berths| berths.clients + berths.lines), expected);
+}
--- /dev/null
+++ b/crates/ottersill/tests/service.rs
@@ -0,0 +1,293 @@
+//! Whole statements over loopback: the program itself between a client and a toy store.
+
+use std::io::{BufRead, BufReader, Read, Write};
+use std::net::SocketAddr;
+use std::process::{Child, ChildStdout, Command, Stdio};
+use std::thread;
+use std::time::{Duration, Instant};
+
+use ottersill_example::{Client, Conduct, Toy, message};
+use rstest::rstest;
+
+const PATIENCE: Duration = Duration::from_secs(10);
+
+struct Service {
+    toy: Toy,
+    router: Child,
+    at: SocketAddr,
+    log: BufReader<ChildStdout>,
+}
+
+impl Drop for Service {
+    fn drop(&mut self) {
+        // It may have ended by itself.
+        let _ = self.router.kill();
+        let _ = self.router.wait();
+    }
+}
+
+fn poll(what: &str, mut holds: impl FnMut() -> bool) {
+    let started = Instant::now();
+    while !holds() {
+        assert!(started.elapsed() < PATIENCE, "not within {PATIENCE:?}: {what}");
+        thread::sleep(Duration::from_millis(10));
+    }
+}
+
+/// A primary and two replicas behind a router that knows their roles.
+fn service(sockets: usize) -> Service {
+    let toy = Toy::default();
+    for _ in 0..3 {
+        toy.host("127.0.0.1:0").expect("a host");
+    }
+    let discovery = toy.discovery("127.0.0.1:0").expect("discovery");
+    let text = include_str!("../../../example/router.json");
+    let text =
+        text.replace("127.0.0.1:7400", "127.0.0.1:0").replace("127.0.0.1:7500", &discovery.to_string());
+    let text = text.replace("\"sockets\": 1024", &format!("\"sockets\": {sockets}"));
+    let path =
+        std::env::temp_dir().join(format!("ottersill-{}-{}.json", std::process::id(), discovery.port()));
+    std::fs::write(&path, text).expect("a charter");
+    let mut command = Command::new(env!("CARGO_BIN_EXE_ottersill"));
+    let mut router = command.env("NODE_CONFIG", &path).stdout(Stdio::piped()).spawn().expect("a router");
+    let mut log = BufReader::new(router.stdout.take().expect("a log"));
+    let mut line = String::new();
+    while !line.contains(" ready ") {
+        line.clear();
+        assert!(log.read_line(&mut line).expect("a line") > 0, "it ended before it was ready");
+    }
+    let at = line
+        .split_once("listen=")
+        .and_then(|(_, at)| at.split(' ').next()?.parse().ok())
+        .expect("its address");
+    let mut service = Service { toy, router, at, log };
+    let mut client = service.client();
+    for _ in 0..30 {
+        assert!(client.ask(&read(2000)).expect("an answer").starts_with("row:"));
+    }
+    assert_eq!(client.ask(&write("1f", 2000)).expect("an answer"), "row:value INSERT 0 1");
+    std::fs::remove_file(path).expect("the charter is read once");
+    assert!(service.router.try_wait().expect("a state").is_none());
+    service
+}
+
+impl Service {
+    fn client(&self) -> Client {
+        let mut client = Client::connect(self.at).expect("a connection");
+        client.socket.set_read_timeout(Some(PATIENCE)).expect("a time-out");
+        client.answer().expect("a greeting");
+        client
+    }
+
+    fn all(&self, conduct: Conduct) {
+        (0..self.toy.hosts()).for_each(|host| self.toy.set_conduct(host, conduct));
+    }
+
+    fn taken(&self) -> usize {
+        (0..self.toy.hosts()).map(|host| self.toy.taken(host).len()).sum()
+    }
+
+    fn signal(&self, name: &str) {
+        let id = self.router.id().to_string();
+        let sent = Command::new("kill").args([name, &id]).status().expect("kill");
+        assert!(sent.success());
+    }
+
+    fn exit(&mut self) -> (Option<i32>, String) {
+        poll("an exit", || self.router.try_wait().expect("a state").is_some());
+        let status = self.router.wait().expect("a status");
+        let mut log = String::new();
+        self.log.read_to_string(&mut log).expect("the log");
+        (status.code(), log)
+    }
+}
+
+fn read(left_ms: u32) -> String {
+    format!("SELECT content FROM kv WHERE name = '1f' /* id=5c,c=get,d={left_ms},cluster=1 */")
+}
+
+fn write(key: &str, left_ms: u32) -> String {
+    let hex = "76616c7565";
+    format!(
+        "INSERT INTO kv (name, content) VALUES ('{key}', '\\x{hex}') RETURNING content \
+         /* id=5d,c=put,d={left_ms},cluster=1 */"
+    )
+}
+
+#[test]
+fn a_write_is_read_back_unchanged_but_for_its_time() {
+    let service = service(1024);
+    assert_eq!(service.client().ask(&read(2000)).expect("an answer"), "row:value SELECT 1");
+    let digits = |text: &str| {
+        let from = text.find(",d=").expect("a time left") + 3;
+        text[from..].chars().take_while(char::is_ascii_digit).collect::<String>()
+    };
+    for text in (0..3).flat_map(|host| service.toy.taken(host)) {
+        let left = digits(&text);
+        assert!((1..=2000).contains(&left.parse().expect("a number")), "{text}");
+        let expected = if text.starts_with("SELECT") { read(2000) } else { write("1f", 2000) };
+        assert_eq!(text.replace(&format!(",d={left}"), ",d=2000"), expected);
+    }
+}
+
+/// What one execution's end makes of a write, which must not run twice, and of a read, which may.
+#[rstest]
+#[case::turned_away(Conduct::Full, "C53300 D", "C53300 D")]
+#[case::error(Conduct::Faulty, "C40003", "C53300 D")]
+#[case::reset(Conduct::Resets, "C40003", "C53300 D")]
+#[case::nonsense(Conduct::Babbles, "C40003", "C53300 D")]
+#[case::miss(Conduct::Replica, "C53300 D", "row:value SELECT 1")]
+fn what_fails_everywhere(#[case] conduct: Conduct, #[case] of_write: &str, #[case] of_read: &str) {
+    let service = service(1024);
+    service.all(conduct);
+    let mut client = service.client();
+    let before = service.taken();
+    let answer = client.ask(&write("2f", 400)).expect("an answer");
+    assert!(answer.starts_with(of_write), "{answer}");
+    if of_write == "C40003" {
+        assert_eq!(service.taken(), before + 1, "a write that may have run is not sent again");
+    }
+    let answer = client.ask(&read(400)).expect("an answer");
+    assert!(answer.starts_with(of_read), "{answer}");
+}
+
+#[rstest]
+#[case::write(write("3f", 300), "C40003")]
+#[case::read(read(300), "C53300 D")]
+fn silence_is_answered_at_the_clients_deadline(#[case] query: String, #[case] expected: &str) {
+    let service = service(1024);
+    service.all(Conduct::Silent);
+    let started = Instant::now();
+    let answer = service.client().ask(&query).expect("an answer");
+    assert!(answer.starts_with(expected), "{answer}");
+    assert!(started.elapsed() < Duration::from_millis(2000), "{:?}", started.elapsed());
+}
+
+#[test]
+fn queries_sent_ahead_byte_by_byte_are_answered_in_order() {
+    let service = service(1024);
+    let mut client = Client::connect(service.at).expect("a connection");
+    client.socket.set_read_timeout(Some(PATIENCE)).expect("a time-out");
+    for query in [&write("4f", 2000), "", &read(2000), "SELECT 1"] {
+        for byte in message(b'Q', format!("{query}\0").as_bytes()) {
+            client.socket.write_all(&[byte]).expect("a byte");
+        }
+    }
+    let answers: Vec<String> = (0..5).map(|_| client.answer().expect("an answer")).collect();
+    assert_eq!(answers, ["", "row:value INSERT 0 1", "empty", "row:value SELECT 1", "C08P01"]);
+}
+
+#[rstest]
+#[case::longer_than_any(b"Q\x7f\xff\xff\xff", "08P01")]
+#[case::extended_protocol(b"P\0\0\0\x08\0\0\0\0", "0A000")]
+fn a_client_that_sends_nonsense_is_told_and_closed(#[case] bytes: &[u8], #[case] code: &str) {
+    let service = service(1024);
+    let (mut strange, mut other) = (service.client(), service.client());
+    strange.socket.write_all(bytes).expect("bytes");
+    let (tag, body) = strange.hear().expect("an error");
+    assert!(tag == b'E' && String::from_utf8_lossy(&body).contains(code));
+    assert!(strange.hear().is_err(), "the connection ends");
+    assert!(other.ask(&read(2000)).expect("an answer").starts_with("row:"));
+}
+
+#[rstest]
+#[case::no_comment("SELECT 1", "C08P01")]
+#[case::unknown_workload("SELECT 1 /* id=1,c=none,d=9,cluster=1 */", "C42704")]
+#[case::unknown_cluster("SELECT 1 /* id=1,c=get,d=9,cluster=77 */", "C42704")]
+fn a_strange_query_is_told_and_the_session_goes_on(#[case] query: &str, #[case] expected: &str) {
+    let service = service(1024);
+    let mut client = service.client();
+    assert_eq!(client.ask(query).expect("an answer"), expected);
+    assert!(client.ask(&read(2000)).expect("an answer").starts_with("row:"));
+}
+
+#[test]
+fn a_host_that_leaves_gets_nothing_new() {
+    let service = service(1024);
+    service.toy.set_health(1, "leaving");
+    let mut client = service.client();
+    poll("told", || {
+        let before = service.toy.taken(1).len();
+        (0..20).for_each(|_| assert!(client.ask(&read(2000)).expect("an answer").starts_with("row:")));
+        service.toy.taken(1).len() == before
+    });
+}
+
+/// An idle connection that its host has ended must not be taken for one: a write on it would be a reset.
+#[test]
+fn connections_that_hosts_end_are_not_used() {
+    let service = service(1024);
+    service.all(Conduct::Closes);
+    let mut client = service.client();
+    for _ in 0..40 {
+        assert_eq!(client.ask(&write("5f", 2000)).expect("an answer"), "row:value INSERT 0 1");
+        thread::sleep(Duration::from_millis(2));
+    }
+}
+
+/// With few descriptors statements are rejected or wait; the program goes on.
+#[test]
+fn running_out_of_descriptors_ends_in_rejections() {
+    let service = service(26);
+    let mut clients: Vec<Client> = (0..12).filter_map(|_| Client::connect(service.at).ok()).collect();
+    for client in &mut clients {
+        client.socket.set_read_timeout(Some(PATIENCE)).expect("a time-out");
+        // One that was turned away is told so, or finds the connection ended.
+        let _ = client.answer().and_then(|_| client.send(&read(500)));
+    }
+    drop(clients);
+    poll("served again", || service.client().ask(&read(2000)).is_ok_and(|answer| answer.starts_with("row:")));
+}
+
+/// Clients still come for a while after SIGTERM, and what was taken in is answered.
+#[test]
+fn sigterm_answers_what_was_taken_and_exits() {
+    let mut service = service(1024);
+    let (mut waiting, mut idle) = (service.client(), service.client());
+    service.all(Conduct::Silent);
+    waiting.send(&read(1200)).expect("a query");
+    service.signal("-TERM");
+    let mut late = service.client();
+    let answer = late.ask(&read(100)).expect("an answer");
+    assert!(answer.starts_with("C53300"), "{answer}");
+    assert!(idle.hear().is_err(), "what idles is closed");
+    assert!(waiting.answer().expect("an answer").starts_with("C53300"));
+    let (code, log) = service.exit();
+    assert_eq!(code, Some(0));
+    assert!(
+        log.contains("stopping") && log.contains(" statements=33 ") && log.contains("breaches_in_all=0"),
+        "{log}"
+    );
+}
+
+#[test]
+fn counters_are_printed_on_request() {
+    let mut service = service(1024);
+    service.signal("-USR1");
+    thread::sleep(Duration::from_millis(100));
+    service.signal("-TERM");
+    let (_, log) = service.exit();
+    assert_eq!(log.matches("counters: ").count(), 2, "{log}");
+}
+
+#[test]
+fn silent_discovery_stops_nothing() {
+    let service = service(1024);
+    service.toy.silence_discovery(true);
+    let mut client = service.client();
+    (0..20).for_each(|_| assert!(client.ask(&read(2000)).expect("an answer").starts_with("row:")));
+}
+
+#[rstest]
+#[case::missing(None, "NODE_CONFIG: environment variable not found")]
+#[case::no_file(Some("/nonexistent/charter.json"), "No such file")]
+fn a_charter_that_is_not_there_ends_it_with_one_line(#[case] path: Option<&str>, #[case] says: &str) {
+    let mut command = Command::new(env!("CARGO_BIN_EXE_ottersill"));
+    command.env_remove("NODE_CONFIG");
+    if let Some(path) = path {
+        command.env("NODE_CONFIG", path);
+    }
+    let done = command.output().expect("it runs");
+    let told = String::from_utf8_lossy(&done.stderr);
+    assert!(done.status.code() == Some(1) && told.lines().count() == 1 && told.contains(says), "{told}");
+}
--- /dev/null
+++ b/example/src/lib.rs
@@ -0,0 +1,367 @@
+//! A toy store: hosts that speak as much of PostgreSQL's protocol as ottersill needs, and the discovery that
+//! lists them, written from the public specifications. One thread a connection; all hosts share their data.
+
+use std::collections::HashMap;
+use std::io::{self, BufRead, BufReader, Read, Write};
+use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
+use std::sync::{Arc, Condvar, Mutex, MutexGuard, PoisonError};
+use std::thread;
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+
+/// How a host treats what it is sent.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Conduct {
+    Primary,
+    Replica,
+    /// Turns statements away unexamined.
+    Full,
+    /// Answers statements with an error.
+    Faulty,
+    /// Takes statements and ends the connection.
+    Resets,
+    /// Takes statements and never answers them.
+    Silent,
+    /// Sends what is no message of the protocol.
+    Babbles,
+    /// Ends connections that idle, right after each answer.
+    Closes,
+}
+
+impl Conduct {
+    pub fn named(name: &str) -> Option<Conduct> {
+        Some(match name {
+            "primary" => Conduct::Primary,
+            "replica" => Conduct::Replica,
+            "full" => Conduct::Full,
+            "faulty" => Conduct::Faulty,
+            "resets" => Conduct::Resets,
+            "silent" => Conduct::Silent,
+            "babbles" => Conduct::Babbles,
+            "closes" => Conduct::Closes,
+            _ => return None,
+        })
+    }
+}
+
+struct Host {
+    at: SocketAddr,
+    conduct: Conduct,
+    /// Whether it writes, whatever its conduct.
+    primary: bool,
+    health: &'static str,
+    /// Statements that came in whole.
+    taken: Vec<String>,
+}
+
+#[derive(Default)]
+struct State {
+    hosts: Vec<Host>,
+    seq: u64,
+    silent_discovery: bool,
+    values: HashMap<String, Vec<u8>>,
+}
+
+#[derive(Clone, Default)]
+pub struct Toy {
+    state: Arc<Mutex<State>>,
+    changed: Arc<Condvar>,
+}
+
+pub fn unix_ms() -> u128 {
+    SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_millis()
+}
+
+impl Toy {
+    /// Listens at that address for as many hosts as are given; the first is the primary.
+    pub fn host(&self, at: &str) -> io::Result<SocketAddr> {
+        let listener = TcpListener::bind(at)?;
+        let at = listener.local_addr()?;
+        let mut state = self.lock();
+        let number = state.hosts.len();
+        let conduct = if number == 0 { Conduct::Primary } else { Conduct::Replica };
+        state.hosts.push(Host { at, conduct, primary: number == 0, health: "active", taken: Vec::new() });
+        state.seq += 1;
+        self.serve(listener, move |toy, client| toy.serve_host(number, client));
+        Ok(at)
+    }
+
+    pub fn discovery(&self, at: &str) -> io::Result<SocketAddr> {
+        let listener = TcpListener::bind(at)?;
+        let at = listener.local_addr()?;
+        self.serve(listener, |toy, client| toy.serve_discovery(client));
+        Ok(at)
+    }
+
+    pub fn set_conduct(&self, host: usize, conduct: Conduct) {
+        let host = &mut self.lock().hosts[host];
+        host.conduct = conduct;
+        match conduct {
+            Conduct::Primary => host.primary = true,
+            Conduct::Replica => host.primary = false,
+            _ => {}
+        }
+    }
+
+    /// `active`, `leaving` or `left`, as discovery tells it.
+    pub fn set_health(&self, host: usize, health: &'static str) {
+        let mut state = self.lock();
+        state.hosts[host].health = health;
+        state.seq += 1;
+        self.changed.notify_all();
+    }
+
+    /// Discovery takes calls and answers none.
+    pub fn silence_discovery(&self, silent: bool) {
+        self.lock().silent_discovery = silent;
+        self.changed.notify_all();
+    }
+
+    /// The statements that a host has taken in.
+    pub fn taken(&self, host: usize) -> Vec<String> {
+        self.lock().hosts[host].taken.clone()
+    }
+
+    pub fn hosts(&self) -> usize {
+        self.lock().hosts.len()
+    }
+
+    fn lock(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn serve(
+        &self,
+        listener: TcpListener,
+        each: impl Fn(&Toy, TcpStream) -> io::Result<()> + Send + Copy + 'static,
+    ) {
+        let toy = self.clone();
+        thread::spawn(move || {
+            for client in listener.incoming().flatten() {
+                let toy = toy.clone();
+                // A connection that breaks is its client's affair.
+                thread::spawn(move || each(&toy, client));
+            }
+        });
+    }
+
+    fn serve_host(&self, number: usize, mut client: TcpStream) -> io::Result<()> {
+        client.set_nodelay(true)?;
+        let mut length = [0; 4];
+        client.read_exact(&mut length)?;
+        let mut startup = vec![0; (u32::from_be_bytes(length) as usize).saturating_sub(4).min(10_000)];
+        client.read_exact(&mut startup)?;
+        let mut out = message(b'R', &[0; 4]);
+        out.extend(self.ready(number));
+        client.write_all(&out)?;
+        loop {
+            let mut head = [0; 5];
+            client.read_exact(&mut head)?;
+            let length = u32::from_be_bytes([head[1], head[2], head[3], head[4]]) as usize;
+            let mut body = vec![0; length.saturating_sub(4).min(1 << 20)];
+            client.read_exact(&mut body)?;
+            if head[0] != b'Q' {
+                return Ok(());
+            }
+            body.pop();
+            let text = String::from_utf8_lossy(&body).into_owned();
+            let conduct = self.note(number, &text);
+            let mut out = match conduct {
+                Conduct::Silent if is_statement(&text) => continue,
+                Conduct::Resets if is_statement(&text) => return Ok(()),
+                Conduct::Babbles if is_statement(&text) => b"?what is this\0".to_vec(),
+                Conduct::Full if is_statement(&text) => error("53300", "too much to do"),
+                Conduct::Faulty if is_statement(&text) => error("XX000", "something broke"),
+                _ => self.answer(number, &text),
+            };
+            out.extend(self.ready(number));
+            client.write_all(&out)?;
+            if conduct == Conduct::Closes {
+                return client.shutdown(Shutdown::Both);
+            }
+        }
+    }
+
+    fn note(&self, number: usize, text: &str) -> Conduct {
+        let host = &mut self.lock().hosts[number];
+        if is_statement(text) {
+            host.taken.push(text.to_string());
+        }
+        host.conduct
+    }
+
+    fn ready(&self, number: usize) -> Vec<u8> {
+        let recovery = if self.lock().hosts[number].primary { "off" } else { "on" };
+        let mut out = parameter("recovery", recovery);
+        out.extend(parameter("lsn_ms", &unix_ms().to_string()));
+        out.extend(message(b'Z', b"I"));
+        out
+    }
+
+    fn answer(&self, number: usize, text: &str) -> Vec<u8> {
+        let mut state = self.lock();
+        let primary = state.hosts[number].primary;
+        let mut quoted = text.split('\'').skip(1).step_by(2);
+        if text.trim().is_empty() {
+            return message(b'I', b"");
+        }
+        if text == "SHOW health" {
+            let x1 = u8::from(primary);
+            let report = format!("x0={}.{:03},x1={x1},utilization=0.1", unix_ms() / 1000, unix_ms() % 1000);
+            return row(report.as_bytes(), "SHOW");
+        }
+        let Some(key) = quoted.next() else { return error("42601", "no statement of this store") };
+        if text.starts_with("SELECT") {
+            return row(state.values.get(key).map_or(b"", |value| value.as_slice()), "SELECT 1");
+        }
+        if !primary {
+            return error("25006", "this is no primary");
+        }
+        let value = quoted.next().and_then(unhex).unwrap_or_default();
+        state.values.insert(key.to_string(), value.clone());
+        row(&value, "INSERT 0 1")
+    }
+
+    fn serve_discovery(&self, client: TcpStream) -> io::Result<()> {
+        let mut out = client.try_clone()?;
+        let mut lines = BufReader::new(client).lines();
+        loop {
+            let Some(request) = lines.next() else { return Ok(()) };
+            let request = request?;
+            while lines.next().transpose()?.is_some_and(|header| !header.is_empty()) {}
+            let number = |name: &str| {
+                let from = request.find(name)? + name.len();
+                let digits: String = request[from..].chars().take_while(char::is_ascii_digit).collect();
+                digits.parse::<u64>().ok()
+            };
+            let (since, wait) = (number("since="), number("timeout_ms=").unwrap_or(0));
+            let list = self.list(since, Duration::from_millis(wait.min(60_000)));
+            let head = format!(
+                "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nContent-Length: {}",
+                list.len()
+            );
+            out.write_all(format!("{head}\r\n\r\n{list}").as_bytes())?;
+        }
+    }
+
+    /// The whole list, once there is a newer one or the wait is over.
+    fn list(&self, since: Option<u64>, wait: Duration) -> String {
+        let waits =
+            |state: &mut State| state.silent_discovery || since.is_some_and(|since| state.seq <= since);
+        let mut state = self
+            .changed
+            .wait_timeout_while(self.lock(), wait, waits)
+            .map_or_else(|e| e.into_inner().0, |w| w.0);
+        while state.silent_discovery {
+            state = self.changed.wait(state).unwrap_or_else(PoisonError::into_inner);
+        }
+        list_of(&state)
+    }
+}
+
+fn list_of(state: &State) -> String {
+    let entry = |(number, host): (usize, &Host)| {
+        let (at, health) = (host.at, host.health);
+        format!(
+            "{{\"host\":\"toy-{number}\",\"dial\":\"{at}\",\"site\":\"here\",\"class\":\"toy\",\"block\":1,\
+             \"health\":\"{health}\",\"share\":1.0,\"born_ms\":0}}"
+        )
+    };
+    let hosts: Vec<String> = state.hosts.iter().enumerate().map(entry).collect();
+    format!("{{\"seq\":{},\"whole\":true,\"hosts\":[{}]}}", state.seq, hosts.join(","))
+}
+
+fn is_statement(text: &str) -> bool {
+    text.contains("/*")
+}
+
+fn unhex(text: &str) -> Option<Vec<u8>> {
+    let digits = text.strip_prefix("\\x")?.as_bytes();
+    let byte = |pair: &[u8]| u8::from_str_radix(std::str::from_utf8(pair).ok()?, 16).ok();
+    digits.chunks(2).map(byte).collect()
+}
+
+pub fn message(tag: u8, body: &[u8]) -> Vec<u8> {
+    let mut out = vec![tag];
+    out.extend((body.len() as u32 + 4).to_be_bytes());
+    out.extend(body);
+    out
+}
+
+fn parameter(name: &str, value: &str) -> Vec<u8> {
+    message(b'S', format!("{name}\0{value}\0").as_bytes())
+}
+
+fn error(code: &str, text: &str) -> Vec<u8> {
+    message(b'E', format!("SERROR\0VERROR\0C{code}\0M{text}\0\0").as_bytes())
+}
+
+/// One row of one binary column, and the word that completes it.
+fn row(value: &[u8], tag: &str) -> Vec<u8> {
+    let mut description = vec![0, 1];
+    description.extend(b"content\0");
+    description.extend([0, 0, 0, 0, 0, 0, 0, 0, 0, 17, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff, 0, 1]);
+    let mut data = vec![0, 1];
+    data.extend((value.len() as u32).to_be_bytes());
+    data.extend(value);
+    let mut out = message(b'T', &description);
+    out.extend(message(b'D', &data));
+    out.extend(message(b'C', format!("{tag}\0").as_bytes()));
+    out
+}
+
+/// A client: one session with a router, a message at a time.
+pub struct Client {
+    pub socket: TcpStream,
+}
+
+impl Client {
+    /// Connects and says the startup message; the greeting is left to be read.
+    pub fn connect(router: SocketAddr) -> io::Result<Client> {
+        let mut socket = TcpStream::connect(router)?;
+        socket.set_nodelay(true)?;
+        let body = b"\0\x03\0\0user\0backend\0database\0store\0\0";
+        socket.write_all(&(body.len() as u32 + 4).to_be_bytes())?;
+        socket.write_all(body)?;
+        Ok(Client { socket })
+    }
+
+    pub fn send(&mut self, query: &str) -> io::Result<()> {
+        self.socket.write_all(&message(b'Q', format!("{query}\0").as_bytes()))
+    }
+
+    /// The next message: its tag and its body.
+    pub fn hear(&mut self) -> io::Result<(u8, Vec<u8>)> {
+        let mut head = [0; 5];
+        self.socket.read_exact(&mut head)?;
+        let length = u32::from_be_bytes([head[1], head[2], head[3], head[4]]) as usize;
+        let mut body = vec![0; length.saturating_sub(4)];
+        self.socket.read_exact(&mut body)?;
+        Ok((head[0], body))
+    }
+
+    /// All messages up to ReadyForQuery, put in words: a row's value, an error's code, a completion.
+    pub fn answer(&mut self) -> io::Result<String> {
+        let mut words = Vec::new();
+        loop {
+            let (tag, body) = self.hear()?;
+            let text = |bytes: &[u8]| String::from_utf8_lossy(bytes).trim_end_matches('\0').to_string();
+            match tag {
+                b'Z' => return Ok(words.join(" ")),
+                b'D' => words.push(format!("row:{}", text(&body[6..]))),
+                b'C' => words.push(text(&body)),
+                b'I' => words.push("empty".to_string()),
+                b'E' => {
+                    let fields = body.split(|byte| *byte == 0);
+                    let coded = fields.filter(|field| matches!(field.first(), Some(b'C' | b'D')));
+                    words.extend(coded.map(text));
+                }
+                _ => {}
+            }
+        }
+    }
+
+    pub fn ask(&mut self, query: &str) -> io::Result<String> {
+        self.send(query)?;
+        self.answer()
+    }
+}
