--- a/crates/ottersill/src/wire/host_side.rs
+++ b/crates/ottersill/src/wire/host_side.rs
@@ -252,7 +252,12 @@
         let (host, load, since, course) = (line.host, line.load.take(), line.since, line.course);
         let reply = std::mem::take(&mut line.reply);
         match course {
-            Course::Dialing | Course::Greeting => self.counters.lines_failed += 1,
+            Course::Dialing | Course::Greeting => {
+                self.counters.lines_failed += 1;
+                let since = self.now - since;
+                info!(self.log, "no connection"; "host" => self.hosts.all[host].name.as_str(),
+                    "course" => format!("{course:?}"), "after" => since, "said" => format!("{:?}", reply.unwelcome()));
+            }
             Course::Idle => self.counters.lines_ended += 1,
             _ => {}
         }
