Answer what a client sent ahead before its connection is closed after SIGTERM

Now a session ends only once nothing whole is left in its buffer. Checked: sigterm_answers_what_was_sent_ahead fails on the old lines. Lists, and values of 64 KiB, get their tables.

--- a/crates/ottersill/src/wire/client_side.rs
+++ b/crates/ottersill/src/wire/client_side.rs
@@ -93,16 +93,9 @@
     }
 
     pub fn close_idle_clients(&mut self) {
-        let idle = |c: &Client| matches!(c.session, Session::Idle | Session::Greeting) && c.outbox.is_empty();
-        let idle: Vec<usize> = self.clients.iter().filter(|(_, c)| idle(c)).map(|(id, _)| id).collect();
-        for id in idle {
-            // A last look: what has come by now is taken in.
-            self.client_is_ready(id);
-            let still = self.clients.get(id).is_some_and(|c| !matches!(c.session, Session::Busy(_)));
-            if still {
-                self.close_client(id);
-            }
-        }
+        let all: Vec<usize> = self.clients.iter().map(|(id, _)| id).collect();
+        // Each gets a last look, as what has come by now counts as taken.
+        all.into_iter().for_each(|id| self.client_is_ready(id));
     }
 
     /// Ends the connection; a statement of it that is in hand has lost its client.
@@ -176,6 +169,8 @@
                     self.counters.clients_turned_away += 1;
                     self.leave(id, Code::TooMany, "no memory is left for this statement");
                 }
+                // All that came whole is answered by now.
+                Ok(None) if self.retiring && !self.clients[id].unread => return self.close_client(id),
                 Ok(None) => {
                     if self.clients[id].unread {
                         self.again(Party::Client(id));
@@ -278,9 +273,6 @@
         self.statements.pass(stmt, Stage::Vacant, &mut self.counters);
         self.session_passes(client, Session::Idle);
         self.say(client, slices);
-        if self.retiring {
-            self.session_passes(client, Session::Leaving);
-        }
         self.weigh(client);
         let client_at = &self.clients[client];
         if self.retiring || client_at.unread || !client_at.inbox.is_empty() {
--- a/crates/ottersill/src/wire/exchange.rs
+++ b/crates/ottersill/src/wire/exchange.rs
@@ -82,7 +82,7 @@
     /// Bytes of statements, whole or not; falls with each answer and each client that leaves.
     pub stored: usize,
     pub listener: Option<(Rc<Socket>, RegistrationToken)>,
-    /// After SIGTERM and the time in which clients still come: idle connections are closed.
+    /// After SIGTERM and the time in which clients still come: connections are closed once they idle.
     pub retiring: bool,
     /// What signals have asked for.
     pub stop_asked: bool,
--- a/crates/ottersill/tests/codec.rs
+++ b/crates/ottersill/tests/codec.rs
@@ -3,14 +3,16 @@
 use bytes::{Bytes, BytesMut};
 use ottersill::lifecycle::charter;
 use ottersill::memory::clients::Session;
+use ottersill::memory::hosts::Hosts;
 use ottersill::memory::lines::Course;
 use ottersill::memory::statements::Stage;
+use ottersill::wire::discovery::List;
 use ottersill::wire::frame::{self, Message, Startup};
 use ottersill::wire::http;
 use ottersill::wire::reply::Reply;
 use ottersill::wire::socket::Outbox;
 use ottersill::wire::statement::Text;
-use ottersill_core::interface::{Ending, Role};
+use ottersill_core::interface::{Ending, Role, Standing};
 use ottersill_example::message;
 use rstest::rstest;
 
@@ -182,6 +184,31 @@
     assert!(!Session::Busy(1).may_become(Session::Busy(2)), "two statements at once");
 }
 
+fn list(whole: bool, hosts: &[(&str, &str, &str)]) -> List {
+    let entry = |(host, dial, health): &(&str, &str, &str)| {
+        format!(r#"{{"host":"{host}","dial":"{dial}","block":7,"health":"{health}","born_ms":1500}}"#)
+    };
+    let hosts: Vec<String> = hosts.iter().map(entry).collect();
+    let json = format!(r#"{{"seq":1,"whole":{whole},"hosts":[{}]}}"#, hosts.join(","));
+    serde_json::from_str(&json).expect("a list")
+}
+
+#[rstest]
+#[case::only_changes(list(false, &[("b", "127.0.0.1:2", "leaving")]), &[(1, Standing::Draining)], &[])]
+#[case::whole(list(true, &[("b", "127.0.0.1:2", "active")]), &[(1, Standing::Ready), (0, Standing::Gone)], &[])]
+#[case::left_without_address(list(false, &[("a", "", "left")]), &[(0, Standing::Gone)], &[])]
+#[case::moved(list(false, &[("a", "127.0.0.1:9", "active")]), &[(0, Standing::Ready)], &[0])]
+#[case::new(list(false, &[("c", "127.0.0.1:3", "active")]), &[(2, Standing::Ready)], &[])]
+#[case::empty_and_whole(list(true, &[]), &[(0, Standing::Gone), (1, Standing::Gone)], &[])]
+fn lists_are_taken_as_told(#[case] list: List, #[case] told: &[(usize, Standing)], #[case] moved: &[usize]) {
+    let mut hosts = Hosts::new(Vec::new());
+    hosts.take(&self::list(true, &[("a", "127.0.0.1:1", "active"), ("b", "127.0.0.1:2", "active")]));
+    let (listed, elsewhere) = hosts.take(&list);
+    assert_eq!(listed.iter().map(|l| (l.host, l.standing)).collect::<Vec<_>>(), told);
+    assert_eq!((elsewhere.as_slice(), hosts.group(7), hosts.group(8)), (moved, Some(0), None));
+    assert!(listed.iter().all(|l| l.started_at == Some(1.5)));
+}
+
 const CHARTER: &str = include_str!("../../../example/router.json");
 
 #[rstest]
--- a/crates/ottersill/tests/service.rs
+++ b/crates/ottersill/tests/service.rs
@@ -239,6 +239,31 @@
     poll("served again", || service.client().ask(&read(2000)).is_ok_and(|answer| answer.starts_with("row:")));
 }
 
+/// A statement sent ahead counts as taken too: closing after the one in hand would lose it.
+#[test]
+fn sigterm_answers_what_was_sent_ahead() {
+    let mut service = service(1024);
+    let mut client = service.client();
+    service.toy.set_conduct(0, Conduct::Silent);
+    client.send(&write("6f", 900)).expect("a query");
+    client.send(&read(2000)).expect("a query");
+    service.signal("-TERM");
+    assert_eq!(client.answer().expect("an answer"), "C40003");
+    assert_eq!(client.answer().expect("an answer"), "row:value SELECT 1");
+    assert!(client.hear().is_err(), "the connection ends");
+    assert_eq!(service.exit().0, Some(0));
+}
+
+#[test]
+fn the_longest_value_passes_both_ways() {
+    let service = service(1024);
+    let mut client = service.client();
+    let query = write("7f", 2000).replace("76616c7565", &"61".repeat(65536));
+    let expected = format!("row:{} ", "a".repeat(65536));
+    assert!(client.ask(&query).expect("an answer").starts_with(&expected));
+    assert!(client.ask(&read(2000).replace("1f", "7f")).expect("an answer").starts_with(&expected));
+}
+
 /// Clients still come for a while after SIGTERM, and what was taken in is answered.
 #[test]
 fn sigterm_answers_what_was_taken_and_exits() {
