Let clients for whom there is no descriptor in, to be told so once their statement is read

Now eight descriptors are kept for clients that are only told 53300; beyond these they wait at the door; idle ones make room after a last look, new ones not before the time a connection has to come up; lines may use what clients leave. Tests: running_out_of_descriptors_ends_in_answers (fails on the old lines), silent_clients_make_room. Found by the second: with the spare ones taken by silent clients nobody was accepted any more; an alarm now looks again.

--- a/crates/ottersill/src/lifecycle/charter.rs
+++ b/crates/ottersill/src/lifecycle/charter.rs
@@ -8,9 +8,11 @@
 use crate::wire::discovery::List;
 use crate::wire::exchange::Berths;
 
-/// Descriptors that are no connection: three standard ones, the loop's four, listener, discovery; and as many
-/// again, so that a crowd at the door and a dropped connection not closed yet never take the last one.
-const OWN_DESCRIPTORS: usize = 18;
+/// Descriptors that are no connection: three standard ones, the loop's four, listener, discovery; and one to accept
+/// with.
+const OWN_DESCRIPTORS: usize = 10;
+/// For clients that are only told that there is no room: each leaves with that answer, so a few will do.
+const SPARE: usize = 8;
 
 #[derive(Deserialize)]
 pub struct Charter {
@@ -33,14 +35,15 @@
 }
 
 impl Limits {
-    /// Every client may have one execution out, so half goes to clients and half to hosts. A quarter of the
-    /// memory is for statements; answers on both sides and the program itself get the rest.
+    /// Every client may have one execution out, so clients get half at most, and lines what clients leave. A quarter
+    /// of the memory is for statements; answers on both sides and the program itself get the rest.
     pub fn berths(&self) -> Result<Berths, String> {
-        let left = self.sockets.saturating_sub(OWN_DESCRIPTORS);
-        if left < 2 {
-            return Err(format!("limits.sockets: expected over {OWN_DESCRIPTORS}, found {}", self.sockets));
+        let all = self.sockets.saturating_sub(OWN_DESCRIPTORS + SPARE);
+        if all < 2 {
+            let least = OWN_DESCRIPTORS + SPARE + 2;
+            return Err(format!("limits.sockets: expected {least} at least, found {}", self.sockets));
         }
-        Ok(Berths { clients: left / 2, lines: left - left / 2, bytes: (self.memory_mb << 20) / 4 })
+        Ok(Berths { all, clients: all / 2, spare: SPARE, bytes: (self.memory_mb << 20) / 4 })
     }
 }
 
--- a/crates/ottersill/src/memory/alarms.rs
+++ b/crates/ottersill/src/memory/alarms.rs
@@ -1,4 +1,4 @@
-//! What falls due by time. Holds at most one alarm for each line and one for discovery; each is taken out when
+//! What falls due by time. Holds at most one alarm for each line and one each for discovery and listener; each is taken out when
 //! it is due, moved or its owner ends.
 
 use std::collections::BTreeSet;
@@ -7,6 +7,8 @@
 pub enum Alarm {
     Line(usize),
     Discovery,
+    /// Clients wait at the door.
+    Listener,
 }
 
 /// A set alarm, to be kept by its owner until it is cleared.
--- a/crates/ottersill/src/memory/clients.rs
+++ b/crates/ottersill/src/memory/clients.rs
@@ -33,6 +33,8 @@
 pub struct Client {
     pub session: Session,
     pub since: f64,
+    /// False if it was let in only to be told that there is no room.
+    pub welcome: bool,
     pub socket: Rc<Socket>,
     pub token: RegistrationToken,
     /// May hold further queries that a client sent ahead; at most one message is read ahead.
@@ -41,6 +43,8 @@
     pub outbox: Outbox,
     /// More may be there to read, and no further readiness will tell of it.
     pub unread: bool,
+    /// It has sent a statement before.
+    pub used: bool,
     /// Bytes counted for it in [`Exchange::stored`](crate::wire::exchange::Exchange).
     pub stored: usize,
 }
--- a/crates/ottersill/src/wire/client_side.rs
+++ b/crates/ottersill/src/wire/client_side.rs
@@ -8,6 +8,7 @@
 use slog::{info, warn};
 use socket2::Socket;
 
+use crate::memory::alarms::Alarm;
 use crate::memory::clients::{Client, Session};
 use crate::memory::statements::{Held, Stage};
 use crate::wire::exchange::{Exchange, Party};
@@ -29,8 +30,16 @@
     pub fn accept(&mut self, most: usize) -> bool {
         let Some((listener, _)) = self.listener.clone() else { return false };
         for _ in 0..most {
+            let room = self.has_room();
+            if !room && self.clients.len() >= self.berths.clients + self.berths.spare {
+                // They wait at the door, where what they sent is kept, until a client leaves.
+                if !std::mem::replace(&mut self.crowded, true) {
+                    self.alarms.set(self.now + self.upkeep.connect, Alarm::Listener);
+                }
+                return false;
+            }
             match socket::accept(&listener) {
-                Ok(Some(socket)) => self.admit(socket),
+                Ok(Some(socket)) => self.admit(socket, room),
                 Ok(None) => return false,
                 // It broke before it was accepted.
                 Err(e) if e.kind() == ErrorKind::ConnectionAborted => {}
@@ -44,16 +53,17 @@
         true
     }
 
-    fn admit(&mut self, socket: Socket) {
+    /// Whether one more client can be served; makes room by ending what idles.
+    fn has_room(&mut self) -> bool {
+        (self.clients.len() < self.berths.clients || self.close_idle_client())
+            && (self.clients.len() + self.lines.len() < self.berths.all || self.close_idle_line())
+    }
+
+    /// One for whom there is no room is let in all the same, to be told so once its statement is read: an answer that
+    /// leaves unread what the client sent is lost with the reset that this makes.
+    fn admit(&mut self, socket: Socket, welcome: bool) {
         self.counters.clients += 1;
-        if self.clients.len() >= self.berths.clients && !self.close_idle_client() {
-            self.counters.clients_turned_away += 1;
-            let mut outbox = Outbox::default();
-            outbox.push(frame::error("FATAL", Code::TooMany, "no descriptor is left for this client", None));
-            // As much as fits; there is no place to keep the rest.
-            let _ = outbox.flush(&socket);
-            return;
-        }
+        self.counters.clients_turned_away += u64::from(!welcome);
         let id = self.clients.vacant_key();
         if let Ok((socket, token)) = self.attend(socket, Party::Client(id)) {
             let (inbox, outbox) = (BytesMut::new(), Outbox::default());
@@ -61,11 +71,13 @@
             self.clients.insert(Client {
                 session,
                 since,
+                welcome,
                 socket,
                 token,
                 inbox,
                 outbox,
                 unread: false,
+                used: false,
                 stored: 0,
             });
             self.client_is_ready(id);
@@ -82,14 +94,27 @@
 
     /// Closes the client connection that has stood idle for longest.
     fn close_idle_client(&mut self) -> bool {
-        let idle = |c: &Client| c.session == Session::Idle && c.inbox.is_empty() && c.outbox.is_empty();
-        let idle = self.clients.iter().filter(|(_, c)| idle(c));
-        let oldest = idle.min_by(|a, b| a.1.since.total_cmp(&b.1.since)).map(|(id, _)| id);
-        if let Some(id) = oldest {
+        // One that is new has its first statement on the way, for as long as a connection may take to come up.
+        let new_since = self.now - self.upkeep.connect;
+        let idle = |c: &Client| {
+            let waits = matches!(c.session, Session::Idle | Session::Greeting);
+            waits && c.inbox.is_empty() && c.outbox.is_empty() && (c.used || c.since < new_since)
+        };
+        let all = self.clients.iter().filter(|(_, c)| idle(c)).map(|(id, c)| (c.since, id));
+        let mut all: Vec<(f64, usize)> = all.collect();
+        all.sort_by(|a, b| a.0.total_cmp(&b.0));
+        for (_, id) in all {
+            // A last look: what has come meanwhile is taken in instead.
+            self.client_is_ready(id);
+            match self.clients.get(id) {
+                Some(client) if !idle(client) => continue,
+                Some(_) => self.close_client(id),
+                None => {}
+            }
             self.counters.clients_closed_idle += 1;
-            self.close_client(id);
+            return true;
         }
-        oldest.is_some()
+        false
     }
 
     pub fn close_idle_clients(&mut self) {
@@ -102,6 +127,9 @@
     fn close_client(&mut self, id: usize) {
         let client = self.clients.remove(id);
         self.stored -= client.stored;
+        if self.crowded {
+            self.again(Party::Listener);
+        }
         self.handle.remove(client.token);
         if let Session::Busy(stmt) = client.session {
             self.counters.clients_left += 1;
@@ -221,6 +249,9 @@
         let Some(group) = self.hosts.group(said.cluster) else {
             return self.refuse_strange(client, Code::Unknown, "no list has named this cluster");
         };
+        if !self.clients[client].welcome {
+            return self.leave(client, Code::TooMany, "no descriptor is left for this client");
+        }
         let stmt = Statement {
             workload,
             group,
@@ -236,6 +267,7 @@
             let held = Held { stage: Stage::Waiting, client, text, deadline };
             exchange.statements.enter(index, held, &mut exchange.counters);
             exchange.session_passes(client, Session::Busy(index));
+            exchange.clients[client].used = true;
         });
     }
 
--- a/crates/ottersill/src/wire/exchange.rs
+++ b/crates/ottersill/src/wire/exchange.rs
@@ -56,8 +56,11 @@
 /// How many connections the limit on descriptors leaves, and how many bytes the limit on memory.
 #[derive(Clone, Copy, Debug)]
 pub struct Berths {
+    /// For clients and lines together.
+    pub all: usize,
     pub clients: usize,
-    pub lines: usize,
+    /// Beside all these, for clients that are let in to be told that there is no room.
+    pub spare: usize,
     /// For statements of clients, whole or not.
     pub bytes: usize,
 }
@@ -82,6 +85,8 @@
     /// Bytes of statements, whole or not; falls with each answer and each client that leaves.
     pub stored: usize,
     pub listener: Option<(Rc<Socket>, RegistrationToken)>,
+    /// Clients wait at the door for one to leave.
+    pub crowded: bool,
     /// After SIGTERM and the time in which clients still come: connections are closed once they idle.
     pub retiring: bool,
     /// What signals have asked for.
@@ -121,6 +126,7 @@
             now,
             stored: 0,
             listener: None,
+            crowded: false,
             retiring: false,
             stop_asked: false,
             print_asked: false,
@@ -168,6 +174,10 @@
         while let Some(alarm) = self.alarms.due(self.now) {
             match alarm {
                 Alarm::Discovery => self.discovery_is_due(),
+                Alarm::Listener => {
+                    self.crowded = false;
+                    self.again(Party::Listener);
+                }
                 Alarm::Line(line) => self.line_is_due(line),
             }
             self.carry_out();
--- a/crates/ottersill/src/wire/host_side.rs
+++ b/crates/ottersill/src/wire/host_side.rs
@@ -63,8 +63,9 @@
         }
         let dial = self.hosts.all[host].dial.ok_or(Ending::ConnectFailed)?;
         // One for a probe of each host is kept back, as what can't be probed can't be judged.
-        let kept_back = if load == Load::Probe { 0 } else { self.hosts.all.len().min(self.berths.lines / 2) };
-        if self.lines.len() + kept_back >= self.berths.lines && !self.close_idle_line() {
+        let kept_back = if load == Load::Probe { 0 } else { self.hosts.all.len().min(self.berths.all / 4) };
+        let taken = self.clients.len().min(self.berths.clients) + self.lines.len();
+        if taken + kept_back >= self.berths.all && !self.close_idle_line() {
             self.counters.lines_wanting += 1;
             return Err(Ending::NeverSent);
         }
@@ -329,8 +330,8 @@
         }
     }
 
-    /// Closes the line that has stood idle for longest, for the sake of another host.
-    fn close_idle_line(&mut self) -> bool {
+    /// Closes the line that has stood idle for longest, for the sake of another connection.
+    pub fn close_idle_line(&mut self) -> bool {
         let oldest = self.hosts.all.iter().filter_map(|host| host.idle.first().copied());
         let oldest = oldest.min_by(|a, b| self.lines[*a].since.total_cmp(&self.lines[*b].since));
         if let Some(id) = oldest {
--- a/crates/ottersill/tests/codec.rs
+++ b/crates/ottersill/tests/codec.rs
@@ -228,5 +228,5 @@
 fn connections_are_counted_against_the_limit(#[case] sockets: usize, #[case] expected: Option<usize>) {
     let mut charter = charter::read(CHARTER.as_bytes()).expect("the example's charter");
     charter.limits.sockets = sockets;
-    assert_eq!(charter.limits.berths().ok().map(|berths| berths.clients + berths.lines), expected);
+    assert_eq!(charter.limits.berths().ok().map(|berths| berths.all), expected);
 }
--- a/crates/ottersill/tests/service.rs
+++ b/crates/ottersill/tests/service.rs
@@ -225,20 +225,39 @@
     }
 }
 
-/// With few descriptors statements are rejected or wait; the program goes on.
+/// Found on sockets with 64 descriptors: turned-away clients were reset before they had read their rejection.
 #[test]
-fn running_out_of_descriptors_ends_in_rejections() {
+fn running_out_of_descriptors_ends_in_answers() {
     let service = service(26);
-    let mut clients: Vec<Client> = (0..12).filter_map(|_| Client::connect(service.at).ok()).collect();
-    for client in &mut clients {
+    service.all(Conduct::Silent);
+    let ask = |_| {
+        let mut client = Client::connect(service.at).expect("a connection");
         client.socket.set_read_timeout(Some(PATIENCE)).expect("a time-out");
-        // One that was turned away is told so, or finds the connection ended.
-        let _ = client.answer().and_then(|_| client.send(&read(500)));
-    }
+        client.send(&read(500)).expect("a query");
+        client
+    };
+    let mut clients: Vec<Client> = (0..30).map(ask).collect();
+    let answers: Vec<String> = clients.iter_mut().map(|client| client.last_words()).collect();
+    assert!(answers.iter().all(|answer| answer == "C53300"), "{answers:?}");
     drop(clients);
+    service.all(Conduct::Replica);
     poll("served again", || service.client().ask(&read(2000)).is_ok_and(|answer| answer.starts_with("row:")));
 }
 
+/// Connections that send nothing must not keep others out for good.
+#[test]
+fn silent_clients_make_room() {
+    let service = service(26);
+    let silent: Vec<Client> = (0..30).map(|_| Client::connect(service.at).expect("a connection")).collect();
+    poll("served", || {
+        let mut client = Client::connect(service.at).expect("a connection");
+        client.socket.set_read_timeout(Some(PATIENCE)).expect("a time-out");
+        client.send(&read(2000)).expect("a query");
+        client.last_words().starts_with("row:")
+    });
+    drop(silent);
+}
+
 /// A statement sent ahead counts as taken too: closing after the one in hand would lose it.
 #[test]
 fn sigterm_answers_what_was_sent_ahead() {
--- a/example/src/lib.rs
+++ b/example/src/lib.rs
@@ -360,6 +360,21 @@
         }
     }
 
+    /// The first word of the answer, past the greeting, whether the session goes on after it or not.
+    pub fn last_words(&mut self) -> String {
+        loop {
+            match self.hear() {
+                Ok((b'D', body)) => return format!("row:{}", String::from_utf8_lossy(&body[6..])),
+                Ok((b'E', body)) => {
+                    let codes = body.split(|byte| *byte == 0).filter(|field| field.first() == Some(&b'C'));
+                    return codes.map(String::from_utf8_lossy).collect();
+                }
+                Ok(_) => {}
+                Err(fault) => return fault.to_string(),
+            }
+        }
+    }
+
     pub fn ask(&mut self, query: &str) -> io::Result<String> {
         self.send(query)?;
         self.answer()
