Watch on at once where discovery ends the connection with each answer; a stalled router's test

Cause: read_discovery() took the end of the connection for a failure and rested 0.25 s, over the 200 ms within which a call continues the watch, so each answer would have begun a new one. Seen in a reading, tried with the toy's discovery.

--- a/crates/ottersill/src/wire/discovery.rs
+++ b/crates/ottersill/src/wire/discovery.rs
@@ -149,11 +149,14 @@
             let list: List = serde_json::from_slice(&response.body).map_err(|e| e.to_string())?;
             self.watch.seq = Some(list.seq);
             self.take_list(&list);
-            self.ask();
-            self.watch.outbox.flush(&socket).map_err(|e| e.to_string())?;
             if response.last {
-                return Err("it ended the connection".into());
+                // Asked again at once: only calls that follow soon keep up the watch.
+                self.leave_discovery();
+                self.watch_discovery();
+                return Ok(());
             }
+            self.ask();
+            self.watch.outbox.flush(&socket).map_err(|e| e.to_string())?;
         }
         match got {
             Got::End => Err("it ended the connection".into()),
@@ -176,13 +179,17 @@
     fn watch_failed(&mut self, fault: &str) {
         self.counters.lists_failed += 1;
         warn!(self.log, "discovery"; "fault" => fault);
+        self.leave_discovery();
+        self.list_failed();
+    }
+
+    fn leave_discovery(&mut self) {
         if let Some((_, token)) = self.watch.socket.take() {
             self.handle.remove(token);
         }
         self.watch.inbox.clear();
         self.watch.outbox = Outbox::default();
         self.watch_passes(Course::Resting, self.upkeep.connect);
-        self.list_failed();
     }
 
     pub fn take_list(&mut self, list: &List) {
--- a/crates/ottersill/tests/service.rs
+++ b/crates/ottersill/tests/service.rs
@@ -314,6 +314,34 @@
     assert_eq!(log.matches("counters: ").count(), 2, "{log}");
 }
 
+/// What came while the router stood still is read before anything is held against its time.
+#[test]
+fn a_router_that_stood_still_goes_on() {
+    let service = service(1024);
+    let mut client = service.client();
+    service.signal("-STOP");
+    client.send(&read(2000)).expect("a query");
+    thread::sleep(Duration::from_millis(300));
+    service.signal("-CONT");
+    assert_eq!(client.answer().expect("an answer"), "row:value SELECT 1");
+}
+
+/// Some agents end the connection with each answer: news must come all the same.
+#[test]
+fn a_discovery_that_closes_is_watched_on() {
+    let service = service(1024);
+    service.toy.close_discovery();
+    for health in ["leaving", "active", "leaving"] {
+        service.toy.set_health(1, health);
+        let mut client = service.client();
+        poll("told", || {
+            let before = service.toy.taken(1).len();
+            (0..20).for_each(|_| assert!(client.ask(&read(2000)).expect("an answer").starts_with("row:")));
+            (service.toy.taken(1).len() == before) == (health == "leaving")
+        });
+    }
+}
+
 #[test]
 fn silent_discovery_stops_nothing() {
     let service = service(1024);
--- a/example/src/lib.rs
+++ b/example/src/lib.rs
@@ -58,6 +58,7 @@
     hosts: Vec<Host>,
     seq: u64,
     silent_discovery: bool,
+    closing_discovery: bool,
     values: HashMap<String, Vec<u8>>,
 }
 
@@ -116,6 +117,11 @@
         self.changed.notify_all();
     }
 
+    /// Discovery ends the connection after each answer.
+    pub fn close_discovery(&self) {
+        self.lock().closing_discovery = true;
+    }
+
     /// The statements that a host has taken in.
     pub fn taken(&self, host: usize) -> Vec<String> {
         self.lock().hosts[host].taken.clone()
@@ -239,7 +245,11 @@
                 "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nContent-Length: {}",
                 list.len()
             );
-            out.write_all(format!("{head}\r\n\r\n{list}").as_bytes())?;
+            let close = if self.lock().closing_discovery { "\r\nConnection: close" } else { "" };
+            out.write_all(format!("{head}{close}\r\n\r\n{list}").as_bytes())?;
+            if !close.is_empty() {
+                return out.shutdown(Shutdown::Both);
+            }
         }
     }
 
