--- a/crates/ottersill/src/memory/clients.rs
+++ b/crates/ottersill/src/memory/clients.rs
@@ -16,8 +16,11 @@
     Idle,
     /// That statement is in hand.
     Busy(usize),
-    /// What is in the outbox goes out, then the connection is closed.
+    /// The client has ended: the connection is closed.
     Leaving,
+    /// Told that it ends; what the client still sends is read and dropped until it ends too. Closed at once, with bytes
+    /// unread, it would be reset, and the client might never read why.
+    Dismissed,
 }
 
 impl Session {
@@ -25,7 +28,7 @@
         use Session::*;
         matches!(
             (self, next),
-            (Greeting, Idle) | (Idle, Busy(_)) | (Busy(_), Idle) | (Greeting | Idle | Busy(_), Leaving)
+            (Greeting, Idle) | (Idle, Busy(_)) | (Busy(_), Idle) | (Greeting | Idle, Leaving | Dismissed)
         )
     }
 }
--- a/crates/ottersill/src/wire/client_side.rs
+++ b/crates/ottersill/src/wire/client_side.rs
@@ -1,6 +1,7 @@
 //! Clients: their connections, their queries, their answers.
 
 use std::io::ErrorKind;
+use std::net::Shutdown;
 
 use bytes::{Bytes, BytesMut};
 use ottersill_core::facade::News;
@@ -97,7 +98,7 @@
         // One that is new has its first statement on the way, for as long as a connection may take to come up.
         let new_since = self.now - self.upkeep.connect;
         let idle = |c: &Client| {
-            let waits = matches!(c.session, Session::Idle | Session::Greeting);
+            let waits = matches!(c.session, Session::Idle | Session::Greeting | Session::Dismissed);
             waits && c.inbox.is_empty() && c.outbox.is_empty() && (c.used || c.since < new_since)
         };
         let all = self.clients.iter().filter(|(_, c)| idle(c)).map(|(id, c)| (c.since, id));
@@ -185,6 +186,16 @@
             let step = match client.session {
                 Session::Busy(_) => return,
                 Session::Leaving => return self.close_client(id),
+                Session::Dismissed if self.retiring => return self.close_client(id),
+                Session::Dismissed => {
+                    client.inbox.clear();
+                    // It fails where the client has ended already, which the next reading shows.
+                    let _ = client.socket.shutdown(Shutdown::Write);
+                    if client.unread {
+                        self.again(Party::Client(id));
+                    }
+                    return self.weigh(id);
+                }
                 Session::Greeting => frame::startup(&mut client.inbox).map(|s| s.map(|s| self.greet(id, s))),
                 Session::Idle => frame::message(&mut client.inbox).map(|m| m.map(|m| self.query(id, m))),
             };
@@ -285,7 +296,7 @@
     }
 
     fn leave(&mut self, id: usize, code: Code, text: &str) {
-        self.session_passes(id, Session::Leaving);
+        self.session_passes(id, Session::Dismissed);
         self.say(id, [frame::error("FATAL", code, text, None)]);
     }
 
--- a/crates/ottersill/src/wire/host_side.rs
+++ b/crates/ottersill/src/wire/host_side.rs
@@ -198,12 +198,12 @@
             // ReadyForQuery after an error: nothing that a host of this protocol does.
             return self.break_line(id);
         }
-        self.rest(id);
-        if self.lines[id].load.is_some() {
-            let host = self.lines[id].host;
-            self.hosts.all[host].idle.pop();
-            self.send(id);
+        if self.lines[id].load.is_none() {
+            return self.rest(id);
         }
+        let until = self.lines[id].until;
+        self.line_passes(id, Course::Idle, until);
+        self.send(id);
     }
 
     fn rest(&mut self, id: usize) {
--- a/crates/ottersill/tests/codec.rs
+++ b/crates/ottersill/tests/codec.rs
@@ -181,6 +181,7 @@
     assert!(!Course::Sent.may_become(Course::Sending), "two loads at once");
     assert!(!Course::Closed.may_become(Course::Idle));
     assert!(!Session::Leaving.may_become(Session::Idle));
+    assert!(!Session::Dismissed.may_become(Session::Idle));
     assert!(!Session::Busy(1).may_become(Session::Busy(2)), "two statements at once");
 }
 
--- a/crates/ottersill/tests/service.rs
+++ b/crates/ottersill/tests/service.rs
@@ -190,6 +190,19 @@
     assert!(other.ask(&read(2000)).expect("an answer").starts_with("row:"));
 }
 
+/// A client that sends on after it was dismissed must still be able to read why.
+#[test]
+fn a_dismissal_is_read_whatever_the_client_sends_after_it() {
+    let service = service(1024);
+    let mut client = service.client();
+    client.socket.write_all(b"Q\x7f\xff\xff\xff").expect("bytes");
+    for _ in 0..50 {
+        client.socket.write_all(&[b'x'; 4096]).expect("bytes");
+        thread::sleep(Duration::from_millis(1));
+    }
+    assert_eq!(client.last_words(), "C08P01");
+}
+
 #[rstest]
 #[case::no_comment("SELECT 1", "C08P01")]
 #[case::unknown_workload("SELECT 1 /* id=1,c=none,d=9,cluster=1 */", "C42704")]
