--- a/crates/ottersill/tests/service.rs
+++ b/crates/ottersill/tests/service.rs
@@ -151,6 +151,22 @@
     assert!(answer.starts_with(of_read), "{answer}");
 }
 
+/// Until a host has greeted nothing was handed over: even a write that must not run twice may be tried again.
+#[test]
+fn a_host_that_never_greets_has_run_nothing() {
+    let service = service(1024);
+    service.all(Conduct::Closes);
+    let mut client = service.client();
+    for query in [write("8f", 2000), read(2000), read(2000), read(2000)] {
+        assert!(client.ask(&query).expect("an answer").starts_with("row:"));
+    }
+    let before = service.taken();
+    service.all(Conduct::Mute);
+    let answer = client.ask(&write("8f", 500)).expect("an answer");
+    assert!(answer.starts_with("C53300 D"), "{answer}");
+    assert_eq!(service.taken(), before);
+}
+
 #[rstest]
 #[case::write(write("3f", 300), "C40003")]
 #[case::read(read(300), "C53300 D")]
--- a/example/src/lib.rs
+++ b/example/src/lib.rs
@@ -25,6 +25,8 @@
     Babbles,
     /// Ends connections that idle, right after each answer.
     Closes,
+    /// Takes new connections and never greets on them.
+    Mute,
 }
 
 impl Conduct {
@@ -38,6 +40,7 @@
             "silent" => Conduct::Silent,
             "babbles" => Conduct::Babbles,
             "closes" => Conduct::Closes,
+            "mute" => Conduct::Mute,
             _ => return None,
         })
     }
@@ -156,6 +159,10 @@
         client.read_exact(&mut length)?;
         let mut startup = vec![0; (u32::from_be_bytes(length) as usize).saturating_sub(4).min(10_000)];
         client.read_exact(&mut startup)?;
+        if self.lock().hosts[number].conduct == Conduct::Mute {
+            // Until the other side has had enough.
+            return client.read_exact(&mut length);
+        }
         let mut out = message(b'R', &[0; 4]);
         out.extend(self.ready(number));
         client.write_all(&out)?;
