Log a broken connection once a second for each host

Seen with crashed hosts: two lines for each refused connection, 1,600 in half a second at one router.

--- a/crates/ottersill/src/memory/hosts.rs
+++ b/crates/ottersill/src/memory/hosts.rs
@@ -15,6 +15,9 @@
     pub listed: Listed,
     /// Lines that stand idle, the last used at the end; a line leaves when it is used, closed or idles too long.
     pub idle: Vec<usize>,
+    /// Connections that broke since the last line on that in the log, and when that was.
+    pub broken: u64,
+    pub logged_at: f64,
 }
 
 #[derive(Default)]
@@ -80,7 +83,7 @@
         if host == self.all.len() {
             self.by_name.insert(entry.host.clone(), host);
             let name = entry.host.clone();
-            self.all.push(Host { name, dial: None, listed, idle: Vec::new() });
+            self.all.push(Host { name, dial: None, listed, idle: Vec::new(), broken: 0, logged_at: 0.0 });
         }
         listed
     }
--- a/crates/ottersill/src/wire/host_side.rs
+++ b/crates/ottersill/src/wire/host_side.rs
@@ -1,7 +1,5 @@
 //! Hosts: the lines to them, and the executions and probes that these carry.
 
-use std::io;
-
 use bytes::BytesMut;
 use ottersill_core::facade::News;
 use ottersill_core::interface::{Ending, Report};
@@ -73,7 +71,7 @@
         let opened = socket::dial(dial).and_then(|socket| self.attend(socket, Party::Line(id)));
         let (socket, token) = opened.map_err(|fault| {
             self.counters.lines_failed += 1;
-            self.log_failed(host, &fault);
+            self.log_broken(host, Course::Dialing, &fault.to_string());
             // What this machine lacks says nothing of the host.
             if socket::is_lack(&fault) { Ending::NeverSent } else { Ending::ConnectFailed }
         })?;
@@ -89,8 +87,15 @@
         Ok(id)
     }
 
-    fn log_failed(&self, host: usize, fault: &io::Error) {
-        info!(self.log, "no connection"; "host" => self.hosts.all[host].name.as_str(), "fault" => %fault);
+    /// A host that is down refuses hundreds of connections a second: one line a second tells as much.
+    fn log_broken(&mut self, host: usize, course: Course, why: &str) {
+        let host = &mut self.hosts.all[host];
+        host.broken += 1;
+        if self.now - host.logged_at >= 1.0 {
+            info!(self.log, "connection broke"; "host" => host.name.as_str(), "course" => format!("{course:?}"),
+                "why" => why, "since_last_line" => host.broken);
+            (host.logged_at, host.broken) = (self.now, 0);
+        }
     }
 
     fn load(&mut self, id: usize, load: Load, until: f64) {
@@ -141,11 +146,7 @@
                     let until = line.until.min(line.since + self.upkeep.connect);
                     self.line_passes(id, Course::Greeting, until);
                 }
-                Err(fault) => {
-                    let host = line.host;
-                    self.log_failed(host, &fault);
-                    return self.break_line(id);
-                }
+                Err(fault) => return self.break_line(id, &fault.to_string()),
             }
         }
         let wrote = self.flush(id);
@@ -158,7 +159,7 @@
         match got {
             Ok(Got::All) if wrote => {}
             Ok(Got::More) if wrote => self.again(Party::Line(id)),
-            _ => self.break_line(id),
+            _ => self.break_line(id, "the host ended it"),
         }
     }
 
@@ -176,15 +177,14 @@
                 (Ok(true), Course::Greeting) => self.welcome(id),
                 (Ok(true), Course::Sent) => self.answered(id),
                 (Err(nonsense), _) => {
-                    info!(self.log, "host nonsense"; "fault" => nonsense);
                     self.counters.host_nonsense += 1;
-                    self.break_line(id);
+                    self.break_line(id, nonsense);
                     return false;
                 }
                 // An answer to nothing.
                 _ => {
                     self.counters.host_nonsense += 1;
-                    self.break_line(id);
+                    self.break_line(id, "an answer to nothing");
                     return false;
                 }
             }
@@ -196,7 +196,7 @@
     fn welcome(&mut self, id: usize) {
         if self.lines[id].reply.unwelcome().is_some() {
             // ReadyForQuery after an error: nothing that a host of this protocol does.
-            return self.break_line(id);
+            return self.break_line(id, "the host said no");
         }
         if self.lines[id].load.is_none() {
             return self.rest(id);
@@ -248,20 +248,18 @@
     }
 
     /// The connection failed, broke, ended or talks nonsense.
-    fn break_line(&mut self, id: usize) {
+    fn break_line(&mut self, id: usize, why: &str) {
         let line = &mut self.lines[id];
         let (host, load, since, course) = (line.host, line.load.take(), line.since, line.course);
         let reply = std::mem::take(&mut line.reply);
         match course {
-            Course::Dialing | Course::Greeting => {
-                self.counters.lines_failed += 1;
-                let since = self.now - since;
-                info!(self.log, "no connection"; "host" => self.hosts.all[host].name.as_str(),
-                    "course" => format!("{course:?}"), "after" => since, "said" => format!("{:?}", reply.unwelcome()));
-            }
+            Course::Dialing | Course::Greeting => self.counters.lines_failed += 1,
             Course::Idle => self.counters.lines_ended += 1,
             _ => {}
         }
+        if course != Course::Idle {
+            self.log_broken(host, course, why);
+        }
         let ending = match course {
             Course::Greeting => reply.unwelcome().unwrap_or(Ending::ConnectFailed),
             Course::Sent if reply.is_served() => Ending::Completed,
@@ -282,7 +280,7 @@
                 self.close_line(id);
             }
             Course::Dialing | Course::Greeting if self.now < line.until || line.load == Some(Load::Probe) => {
-                self.break_line(id);
+                self.break_line(id, "not up in time");
             }
             _ => self.give_up_line(id, Ending::TimedOut),
         }
