Let go of read buffers once they are empty, so that the bound on memory holds

Seen: 400 clients with long statements took 58 MB under a limit of 32 MB (probe: VmHWM of the program in a test of tests/service.rs), about as much as without the bound. Cause: a BytesMut emptied by split_to, or cleared, keeps the whole buffer (client_side.rs weigh, host_side.rs rest), so idle and dismissed sessions held what the bound counted as free. After: 10 MB. The test fails with the bound taken out (60 MB) and on the old lines (58 MB).

--- a/crates/ottersill/src/wire/client_side.rs
+++ b/crates/ottersill/src/wire/client_side.rs
@@ -155,6 +155,10 @@
             Session::Busy(stmt) => self.statements.get(stmt).map_or(0, |held| held.text.len()),
             _ => 0,
         };
+        if client.inbox.is_empty() {
+            // What is left of it would hold on to all that was read with it.
+            client.inbox = BytesMut::new();
+        }
         let stored = 2 * (client.inbox.len() + text);
         self.stored = self.stored + stored - client.stored;
         client.stored = stored;
--- a/crates/ottersill/src/wire/host_side.rs
+++ b/crates/ottersill/src/wire/host_side.rs
@@ -209,9 +209,13 @@
     fn rest(&mut self, id: usize) {
         // Half of what the host allows: one that ends at both sides at once would be a reset.
         self.line_passes(id, Course::Idle, self.now + self.upkeep.idle / 2.0);
-        let host = self.lines[id].host;
-        self.lines[id].since = self.now;
-        self.hosts.all[host].idle.push(id);
+        let line = &mut self.lines[id];
+        line.since = self.now;
+        if line.inbox.is_empty() {
+            // What is left of it would hold on to all that was read with it.
+            line.inbox = BytesMut::new();
+        }
+        self.hosts.all[line.host].idle.push(id);
     }
 
     /// The load has its answer; the line is kept.
--- a/crates/ottersill/tests/service.rs
+++ b/crates/ottersill/tests/service.rs
@@ -36,6 +36,10 @@
 
 /// A primary and two replicas behind a router that knows their roles.
 fn service(sockets: usize) -> Service {
+    service_within(sockets, 192)
+}
+
+fn service_within(sockets: usize, memory_mb: u64) -> Service {
     let toy = Toy::default();
     for _ in 0..3 {
         toy.host("127.0.0.1:0").expect("a host");
@@ -45,6 +49,7 @@
     let text =
         text.replace("127.0.0.1:7400", "127.0.0.1:0").replace("127.0.0.1:7500", &discovery.to_string());
     let text = text.replace("\"sockets\": 1024", &format!("\"sockets\": {sockets}"));
+    let text = text.replace("\"memory_mb\": 192", &format!("\"memory_mb\": {memory_mb}"));
     let path =
         std::env::temp_dir().join(format!("ottersill-{}-{}.json", std::process::id(), discovery.port()));
     std::fs::write(&path, text).expect("a charter");
@@ -273,6 +278,29 @@
     poll("served again", || service.client().ask(&read(2000)).is_ok_and(|answer| answer.starts_with("row:")));
 }
 
+/// Long statements that no host answers, and more of them sent ahead: what is stored has a bound.
+#[test]
+fn memory_is_bounded_under_long_statements() {
+    let service = service_within(1024, 32);
+    service.all(Conduct::Silent);
+    let long = write("9f", 9000).replace("76616c7565", &"61".repeat(65536));
+    let ask = |_| {
+        let mut client = service.client();
+        // One that was turned away meanwhile takes no more.
+        let _ = (0..3).try_for_each(|_| client.send(&long));
+        client
+    };
+    let clients: Vec<Client> = (0..400).map(ask).collect();
+    thread::sleep(Duration::from_millis(300));
+    drop(clients);
+    service.all(Conduct::Replica);
+    poll("served again", || service.client().ask(&read(2000)).is_ok_and(|answer| answer.starts_with("row:")));
+    let status = std::fs::read_to_string(format!("/proc/{}/status", service.router.id())).expect("a status");
+    let peak = status.lines().find_map(|line| line.strip_prefix("VmHWM:")).expect("its peak");
+    let peak: u64 = peak.trim().trim_end_matches(" kB").parse().expect("a number");
+    assert!(peak < 32 << 10, "{peak} kB");
+}
+
 /// Connections that send nothing must not keep others out for good.
 #[test]
 fn silent_clients_make_room() {
