--- a/crates/ottersill/src/memory/statements.rs
+++ b/crates/ottersill/src/memory/statements.rs
@@ -36,7 +36,7 @@
     /// Outlives the message it came in, as it may be sent more than once; dropped with the final answer.
     pub text: Text,
     /// When its client stops waiting.
-    pub deadline: f64,
+    pub gives_up_at: f64,
 }
 
 /// Grows to as many as were ever in hand at once; the facade's numbers are used again.
--- a/crates/ottersill/src/wire/client_side.rs
+++ b/crates/ottersill/src/wire/client_side.rs
@@ -54,7 +54,7 @@
         true
     }
 
-    /// Whether one more client can be served; makes room by ending what idles.
+    /// Whether one more client can be taken on; makes room by ending what idles.
     fn has_room(&mut self) -> bool {
         (self.clients.len() < self.berths.clients || self.close_idle_client())
             && (self.clients.len() + self.lines.len() < self.berths.all || self.close_idle_line())
@@ -256,13 +256,13 @@
     fn take_in(&mut self, client: usize, text: &Bytes) {
         let (text, said) = match Text::read(text) {
             Ok(read) => read,
-            Err(lack) => return self.refuse_strange(client, Code::ProtocolViolation, lack),
+            Err(lack) => return self.tell_strange(client, Code::ProtocolViolation, lack),
         };
         let Some(workload) = self.names.workloads.iter().position(|name| name == said.workload) else {
-            return self.refuse_strange(client, Code::Unknown, "no workload has the name in c");
+            return self.tell_strange(client, Code::Unknown, "no workload has the name in c");
         };
         let Some(group) = self.hosts.group(said.cluster) else {
-            return self.refuse_strange(client, Code::Unknown, "no list has named this cluster");
+            return self.tell_strange(client, Code::Unknown, "no list has named this cluster");
         };
         if !self.clients[client].welcome {
             return self.leave(client, Code::TooMany, "no descriptor is left for this client");
@@ -277,9 +277,9 @@
             repeat: said.repeat,
         };
         self.counters.statements += 1;
-        let deadline = self.now + said.time_left;
+        let gives_up_at = self.now + said.time_left;
         self.open(stmt, |exchange, index| {
-            let held = Held { stage: Stage::Waiting, client, text, deadline };
+            let held = Held { stage: Stage::Waiting, client, text, gives_up_at };
             exchange.statements.enter(index, held, &mut exchange.counters);
             exchange.session_passes(client, Session::Busy(index));
             exchange.clients[client].used = true;
@@ -287,7 +287,7 @@
     }
 
     /// The connection is in order, the query is none of this service's.
-    fn refuse_strange(&mut self, id: usize, code: Code, text: &str) {
+    fn tell_strange(&mut self, id: usize, code: Code, text: &str) {
         self.counters.strange_queries += 1;
         self.say(id, [frame::error("ERROR", code, text, None), frame::READY.clone()]);
     }
--- a/crates/ottersill/src/wire/host_side.rs
+++ b/crates/ottersill/src/wire/host_side.rs
@@ -28,7 +28,7 @@
     pub fn execute(&mut self, stmt: usize, host: usize, time_out: f64) {
         let Some(held) = self.statements.get(stmt) else { return };
         self.counters.must(held.stage == Stage::Waiting, "a statement has one execution out at a time");
-        let until = if time_out > 0.0 { held.deadline.min(self.now + time_out) } else { held.deadline };
+        let until = if time_out > 0.0 { held.gives_up_at.min(self.now + time_out) } else { held.gives_up_at };
         self.counters.executions += 1;
         match self.give(host, Load::Statement(stmt), until) {
             Ok(line) => self.statements.pass(stmt, Stage::Executing(line), &mut self.counters),
@@ -266,7 +266,7 @@
         }
         let ending = match course {
             Course::Greeting => reply.unwelcome().unwrap_or(Ending::ConnectFailed),
-            Course::Sent if reply.is_served() => Ending::Completed,
+            Course::Sent if reply.is_completed() => Ending::Completed,
             course => course.broken(),
         };
         self.close_line(id);
--- a/crates/ottersill/src/wire/reply.rs
+++ b/crates/ottersill/src/wire/reply.rs
@@ -80,7 +80,7 @@
     }
 
     /// The row is there whole, whatever comes after it.
-    pub fn is_served(&self) -> bool {
+    pub fn is_completed(&self) -> bool {
         self.code.is_none() && self.rows == 1 && self.description.is_some() && self.complete.is_some()
     }
 
@@ -90,7 +90,7 @@
             Some(b"53300") => Ending::Full,
             Some(b"25006" | b"72000") => Ending::Miss,
             Some(_) => Ending::Error,
-            None if self.is_served() => Ending::Completed,
+            None if self.is_completed() => Ending::Completed,
             // Whatever it did, it gave nothing that could be passed on.
             None => Ending::Error,
         }
@@ -118,7 +118,7 @@
     }
 
     fn health(&self) -> Option<Report> {
-        let row = self.row.as_ref().filter(|_| self.is_served())?;
+        let row = self.row.as_ref().filter(|_| self.is_completed())?;
         Some(report(std::str::from_utf8(row.column()?).ok()?))
     }
 }
--- a/crates/ottersill/tests/service.rs
+++ b/crates/ottersill/tests/service.rs
@@ -175,7 +175,7 @@
 #[rstest]
 #[case::write(write("3f", 300), "C40003")]
 #[case::read(read(300), "C53300 D")]
-fn silence_is_answered_at_the_clients_deadline(#[case] query: String, #[case] expected: &str) {
+fn silence_is_answered_when_the_client_gives_up(#[case] query: String, #[case] expected: &str) {
     let service = service(1024);
     service.all(Conduct::Silent);
     let started = Instant::now();
