Keep the door open after SIGTERM until nobody waits at it

Seen in a reading: retire() in exchange.rs closed the listener while clients waited there for want of descriptors; what they had sent counts as taken and was reset. Checked: sigterm_answers_a_crowd_at_the_door fails on the old lines (14 of 36 reset) and passes now.

--- a/crates/ottersill/src/lifecycle/serve.rs
+++ b/crates/ottersill/src/lifecycle/serve.rs
@@ -112,7 +112,7 @@
             exchange.retire();
             Phase::Retiring(exchange.now + longest)
         }
-        Phase::Retiring(until) if exchange.clients.is_empty() || exchange.now >= until => Phase::Done,
+        Phase::Retiring(until) if exchange.is_empty() || exchange.now >= until => Phase::Done,
         phase => phase,
     })
 }
--- a/crates/ottersill/src/wire/client_side.rs
+++ b/crates/ottersill/src/wire/client_side.rs
@@ -24,19 +24,29 @@
     pub fn listener_is_ready(&mut self) {
         if self.accept(ACCEPTS) {
             self.again(Party::Listener);
+        } else {
+            self.close_door();
+        }
+    }
+
+    /// Once nobody is at the door of a router that retires.
+    pub fn close_door(&mut self) {
+        if self.retiring && self.crowd.is_none() {
+            if let Some((_, token)) = self.listener.take() {
+                self.handle.remove(token);
+            }
         }
     }
 
     /// Accepts at most so many; true if more may be at the door.
     pub fn accept(&mut self, most: usize) -> bool {
         let Some((listener, _)) = self.listener.clone() else { return false };
+        self.alarms.clear(self.crowd.take());
         for _ in 0..most {
             let room = self.has_room();
             if !room && self.clients.len() >= self.berths.clients + self.berths.spare {
                 // They wait at the door, where what they sent is kept, until a client leaves.
-                if !std::mem::replace(&mut self.crowded, true) {
-                    self.alarms.set(self.now + self.upkeep.connect, Alarm::Listener);
-                }
+                self.crowd = Some(self.alarms.set(self.now + self.upkeep.connect, Alarm::Listener));
                 return false;
             }
             match socket::accept(&listener) {
@@ -128,7 +138,7 @@
     fn close_client(&mut self, id: usize) {
         let client = self.clients.remove(id);
         self.stored -= client.stored;
-        if self.crowded {
+        if self.crowd.is_some() {
             self.again(Party::Listener);
         }
         self.handle.remove(client.token);
--- a/crates/ottersill/src/wire/exchange.rs
+++ b/crates/ottersill/src/wire/exchange.rs
@@ -15,7 +15,7 @@
 use slog::Logger;
 use socket2::Socket;
 
-use crate::memory::alarms::{Alarm, Alarms};
+use crate::memory::alarms::{Alarm, Alarms, Set};
 use crate::memory::clients::Client;
 use crate::memory::counters::Counters;
 use crate::memory::hosts::Hosts;
@@ -85,8 +85,8 @@
     /// Bytes of statements, whole or not; falls with each answer and each client that leaves.
     pub stored: usize,
     pub listener: Option<(Rc<Socket>, RegistrationToken)>,
-    /// Clients wait at the door for one to leave.
-    pub crowded: bool,
+    /// Set while clients wait at the door for one to leave.
+    pub crowd: Option<Set>,
     /// After SIGTERM and the time in which clients still come: connections are closed once they idle.
     pub retiring: bool,
     /// What signals have asked for.
@@ -126,7 +126,7 @@
             now,
             stored: 0,
             listener: None,
-            crowded: false,
+            crowd: None,
             retiring: false,
             stop_asked: false,
             print_asked: false,
@@ -175,7 +175,7 @@
             match alarm {
                 Alarm::Discovery => self.discovery_is_due(),
                 Alarm::Listener => {
-                    self.crowded = false;
+                    self.crowd = None;
                     self.again(Party::Listener);
                 }
                 Alarm::Line(line) => self.line_is_due(line),
@@ -237,14 +237,17 @@
     pub fn retire(&mut self) {
         // Whom the machine has let in may have sent a statement, which then counts as taken.
         self.accept(usize::MAX);
-        if let Some((_, token)) = self.listener.take() {
-            self.handle.remove(token);
-        }
         self.retiring = true;
+        self.close_door();
         self.close_idle_clients();
         self.carry_out();
     }
 
+    /// Nobody is in hand or at the door.
+    pub fn is_empty(&self) -> bool {
+        self.clients.is_empty() && self.listener.is_none()
+    }
+
     /// Everything that must hold, wherever it is counted.
     pub fn breaches(&self) -> u64 {
         self.counters.breaches + self.facade.breaches()
--- a/crates/ottersill/tests/service.rs
+++ b/crates/ottersill/tests/service.rs
@@ -331,6 +331,24 @@
     assert_eq!(service.exit().0, Some(0));
 }
 
+/// Those who wait at the door for want of descriptors have sent their statements, which count as taken.
+#[test]
+fn sigterm_answers_a_crowd_at_the_door() {
+    let mut service = service(26);
+    service.all(Conduct::Silent);
+    let ask = |_| {
+        let mut client = Client::connect(service.at).expect("a connection");
+        client.socket.set_read_timeout(Some(PATIENCE)).expect("a time-out");
+        client.send(&read(1500)).expect("a query");
+        client
+    };
+    let mut clients: Vec<Client> = (0..36).map(ask).collect();
+    service.signal("-TERM");
+    let answers: Vec<String> = clients.iter_mut().map(|client| client.last_words()).collect();
+    assert!(answers.iter().all(|answer| answer == "C53300"), "{answers:?}");
+    assert_eq!(service.exit().0, Some(0));
+}
+
 #[test]
 fn the_longest_value_passes_both_ways() {
     let service = service(1024);
