--- a/crates/ottersill/src/wire/host_side.rs
+++ b/crates/ottersill/src/wire/host_side.rs
@@ -82,7 +82,20 @@
         let course = Course::Dialing;
         let since = self.now;
         let load = Some(load);
-        let line = Line { host, course, load, since, until, socket, token, alarm, inbox, outbox, reply };
+        let line = Line {
+            host,
+            course,
+            load,
+            since,
+            until,
+            idle_since: since,
+            socket,
+            token,
+            alarm,
+            inbox,
+            outbox,
+            reply,
+        };
         self.lines.insert(line);
         Ok(id)
     }
@@ -210,7 +223,7 @@
         // Half of what the host allows: one that ends at both sides at once would be a reset.
         self.line_passes(id, Course::Idle, self.now + self.upkeep.idle / 2.0);
         let line = &mut self.lines[id];
-        line.since = self.now;
+        line.idle_since = self.now;
         if line.inbox.is_empty() {
             // What is left of it would hold on to all that was read with it.
             line.inbox = BytesMut::new();
@@ -335,7 +348,7 @@
     /// Closes the line that has stood idle for longest, for the sake of another connection.
     pub fn close_idle_line(&mut self) -> bool {
         let oldest = self.hosts.all.iter().filter_map(|host| host.idle.first().copied());
-        let oldest = oldest.min_by(|a, b| self.lines[*a].since.total_cmp(&self.lines[*b].since));
+        let oldest = oldest.min_by(|a, b| self.lines[*a].idle_since.total_cmp(&self.lines[*b].idle_since));
         if let Some(id) = oldest {
             self.close_line(id);
         }
