SIGHUP reads the charter again and moves to the discovery it names

Ruled out: any other end; 129 is SIGHUP's default action, and lifecycle/serve.rs listed SIGTERM, SIGINT and SIGUSR1 only.

--- a/crates/ottersill/src/lifecycle/charter.rs
+++ b/crates/ottersill/src/lifecycle/charter.rs
@@ -28,7 +28,20 @@
     pub settings: BootInfo,
 }
 
-#[derive(Clone, Copy, Debug, Deserialize)]
+impl Charter {
+    /// What this charter says that a reload can't take over, by the fields in which the other one differs.
+    pub fn differs(&self, other: &Charter) -> Vec<&'static str> {
+        let fields = [
+            ("name", self.name != other.name),
+            ("listen", self.listen != other.listen),
+            ("limits", self.limits != other.limits),
+            ("settings", self.settings != other.settings),
+        ];
+        fields.into_iter().filter(|(_, differs)| *differs).map(|(field, _)| field).collect()
+    }
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Deserialize)]
 pub struct Limits {
     pub memory_mb: usize,
     pub sockets: usize,
--- a/crates/ottersill/src/lifecycle/serve.rs
+++ b/crates/ottersill/src/lifecycle/serve.rs
@@ -9,6 +9,7 @@
 
 use crate::lifecycle::charter::{self, Charter};
 use crate::lifecycle::log::Log;
+use crate::lifecycle::reload::Reload;
 use crate::wire::exchange::{Exchange, Party};
 use crate::wire::socket;
 
@@ -36,14 +37,15 @@
     let berths = charter.limits.berths().map_err(|e| format!("NODE_CONFIG: {e}"))?;
     let upkeep = charter.settings.upkeep().map_err(|e| format!("NODE_CONFIG: settings.{e}"))?;
     let (terms, names) =
-        charter.settings.terms(charter.seed).map_err(|e| format!("NODE_CONFIG: settings.{e}"))?;
+        charter.settings.clone().terms(charter.seed).map_err(|e| format!("NODE_CONFIG: settings.{e}"))?;
     let longest = terms.workloads.iter().map(|w| w.statement_timeout).fold(0.0, f64::max);
     let mut events = EventLoop::try_new().map_err(|e| format!("event loop: {e}"))?;
-    let signals = Signals::new(&[Signal::SIGTERM, Signal::SIGINT, Signal::SIGUSR1]);
+    let signals = Signals::new(&[Signal::SIGTERM, Signal::SIGINT, Signal::SIGUSR1, Signal::SIGHUP]);
     let signals = signals.map_err(|e| format!("signals: {e}"))?;
     let handle = events.handle();
     let told = handle.insert_source(signals, |event, (), exchange: &mut Exchange| match event.signal() {
         Signal::SIGUSR1 => exchange.print_asked = true,
+        Signal::SIGHUP => exchange.reload_asked = true,
         _ => exchange.stop_asked = true,
     });
     told.map_err(|e| format!("signals: {e}"))?;
@@ -57,14 +59,19 @@
     info!(exchange.log, "started"; "listen" => %charter.listen, "discovery" => %charter.discovery);
     // A full backlog drops the first packet of a connection, which is then sent again after a second.
     let door = Door { at: charter.listen, backlog: charter.limits.sockets };
+    let mut reload = Reload::new(charter);
     let mut phase = Phase::Starting;
     while phase != Phase::Done {
         phase = advance(phase, &mut exchange, &door, longest)?;
-        let next = exchange.next_at().min(phase.until());
+        let next = exchange.next_at().min(phase.until()).min(reload.next_at());
         let wait = (next - exchange.clock.now()).clamp(0.0, 1.0);
         let wait = Duration::from_secs_f64(wait);
         events.dispatch(Some(wait), &mut exchange).map_err(|e| format!("event loop: {e}"))?;
         exchange.turn();
+        if std::mem::take(&mut exchange.reload_asked) {
+            reload.ask(exchange.now);
+        }
+        reload.turn(&mut exchange);
         exchange.counters.log_dropped = log.dropped();
         if std::mem::take(&mut exchange.print_asked) {
             print(&exchange);
--- a/crates/ottersill/src/memory/counters.rs
+++ b/crates/ottersill/src/memory/counters.rs
@@ -52,6 +52,8 @@
     host_nonsense: "Connections to hosts ended for what is no answer of the protocol.",
     probes: "Probes sent.",
     probes_failed: "Probes without a report.",
+    reloads: "Charters read again on SIGHUP.",
+    reloads_failed: "Readings of a charter on SIGHUP that could not be taken.",
     lists: "Host lists and changes read.",
     lists_failed: "Discovery calls that failed.",
     log_dropped: "Log lines dropped because nobody read them fast enough.",
--- a/crates/ottersill/src/wire/discovery.rs
+++ b/crates/ottersill/src/wire/discovery.rs
@@ -1,5 +1,6 @@
 //! Discovery: what its lists say, and the watch kept on them.
 
+use std::net::SocketAddr;
 use std::rc::Rc;
 
 use bytes::BytesMut;
@@ -73,7 +74,7 @@
 }
 
 pub struct Watch {
-    pub at: std::net::SocketAddr,
+    pub at: SocketAddr,
     pub course: Course,
     pub socket: Option<(Rc<Socket>, RegistrationToken)>,
     pub inbox: BytesMut,
@@ -84,7 +85,7 @@
 }
 
 impl Watch {
-    pub fn new(at: std::net::SocketAddr) -> Watch {
+    pub fn new(at: SocketAddr) -> Watch {
         let (inbox, outbox) = (BytesMut::new(), Outbox::default());
         Watch { at, course: Course::Resting, socket: None, inbox, outbox, alarm: None, seq: None }
     }
@@ -116,6 +117,18 @@
         }
     }
 
+    /// Discovery is somewhere else from now on. What was told last stands until the whole list is told there, whose
+    /// versions need not go on from the old ones.
+    pub fn move_discovery(&mut self, at: SocketAddr) {
+        if at == self.watch.at {
+            return;
+        }
+        self.watch.at = at;
+        self.watch.seq = None;
+        self.leave_discovery();
+        self.watch_discovery();
+    }
+
     fn ask(&mut self) {
         let (path, wait) = match self.watch.seq {
             None => ("/v1/servers".to_string(), 0.0),
--- a/crates/ottersill/src/wire/exchange.rs
+++ b/crates/ottersill/src/wire/exchange.rs
@@ -92,6 +92,7 @@
     /// What signals have asked for.
     pub stop_asked: bool,
     pub print_asked: bool,
+    pub reload_asked: bool,
     /// Emptied by each turn.
     ready: Vec<Party>,
 }
@@ -130,6 +131,7 @@
             retiring: false,
             stop_asked: false,
             print_asked: false,
+            reload_asked: false,
             ready: Vec::new(),
         }
     }
--- a/crates/terms/src/lib.rs
+++ b/crates/terms/src/lib.rs
@@ -4,7 +4,7 @@
 use ottersill_core::interface::{Effect, Needs, Reports, Terms, Within, Workload};
 use serde::Deserialize;
 
-#[derive(Deserialize)]
+#[derive(Clone, PartialEq, Deserialize)]
 pub struct BootInfo {
     balancers: usize,
     profiles: Vec<Profile>,
@@ -20,7 +20,7 @@
     localities: Vec<String>,
 }
 
-#[derive(Deserialize)]
+#[derive(Clone, PartialEq, Deserialize)]
 struct Profile {
     name: String,
     aim_ms: f64,
@@ -32,13 +32,13 @@
     window_ms: f64,
 }
 
-#[derive(Deserialize)]
+#[derive(Clone, PartialEq, Deserialize)]
 struct Account {
     name: String,
     quota_per_s: f64,
 }
 
-#[derive(Deserialize)]
+#[derive(Clone, PartialEq, Deserialize)]
 struct Domain {
     class_read: Vec<String>,
     oldest_data_ms: Vec<f64>,
@@ -47,7 +47,7 @@
     write_marks: String,
 }
 
-#[derive(Deserialize)]
+#[derive(Clone, PartialEq, Deserialize)]
 struct PolicyLimits {
     cancelling: bool,
     probes: bool,
@@ -60,7 +60,7 @@
     keepalive_ms: Option<f64>,
 }
 
-#[derive(Deserialize)]
+#[derive(Clone, PartialEq, Deserialize)]
 struct Rules {
     cold_from: f64,
     ramp_time_ms: f64,
@@ -70,7 +70,7 @@
     soft_removal: bool,
 }
 
-#[derive(Deserialize)]
+#[derive(Clone, PartialEq, Deserialize)]
 struct Stats {
     how: String,
     #[serde(default)]
