Time limits for client connections, a stop that lingers, spoilt answers told by their insides

Reply::take asked for a T, a D and a C only, in any order and with any insides; it checks them now, and an unreadable report spoils nothing (it ended the connection before). A spoilt answer was reported as a broken connection, which took the primary its role: it is an error of the host now.

--- a/crates/ottersill/src/lifecycle/serve.rs
+++ b/crates/ottersill/src/lifecycle/serve.rs
@@ -15,6 +15,9 @@
 
 /// For this long after SIGTERM new clients still come, as the protocol page has it; seconds.
 const ARRIVALS: f64 = 0.4;
+/// It may be killed this long after the longest statement timeout, which counts as so long at the most; seconds.
+const KILL: f64 = 0.7;
+const COUNTED: f64 = 3.0;
 
 #[derive(Clone, Copy, Debug, PartialEq)]
 enum Phase {
@@ -23,6 +26,9 @@
     Serving,
     /// Asked to stop; clients still come until then.
     Arriving(f64),
+    /// The door is closed, and clients go on on the connections they have until then: closed at once, they would all
+    /// come to the other routers, or find none where several restart.
+    Lingering(f64),
     /// What was taken in is answered, what idles is closed; until then at the latest.
     Retiring(f64),
     Done,
@@ -38,7 +44,10 @@
     let upkeep = charter.settings.upkeep().map_err(|e| format!("NODE_CONFIG: settings.{e}"))?;
     let (terms, names) =
         charter.settings.clone().terms(charter.seed).map_err(|e| format!("NODE_CONFIG: settings.{e}"))?;
-    let longest = terms.workloads.iter().map(|w| w.statement_timeout).fold(0.0, f64::max);
+    let times = Times {
+        longest: terms.workloads.iter().map(|w| w.statement_timeout).fold(0.0, f64::max),
+        quickest: terms.workloads.iter().map(|w| w.slo_time).fold(f64::INFINITY, f64::min),
+    };
     let mut events = EventLoop::try_new().map_err(|e| format!("event loop: {e}"))?;
     let signals = Signals::new(&[Signal::SIGTERM, Signal::SIGINT, Signal::SIGUSR1, Signal::SIGHUP]);
     let signals = signals.map_err(|e| format!("signals: {e}"))?;
@@ -62,7 +71,7 @@
     let mut reload = Reload::new(charter);
     let mut phase = Phase::Starting;
     while phase != Phase::Done {
-        phase = advance(phase, &mut exchange, &door, longest)?;
+        phase = advance(phase, &mut exchange, &door, times)?;
         let next = exchange.next_at().min(phase.until()).min(reload.next_at());
         let wait = (next - exchange.clock.now()).clamp(0.0, 1.0);
         let wait = Duration::from_secs_f64(wait);
@@ -83,6 +92,13 @@
     Ok(())
 }
 
+/// The longest statement timeout and the shortest SLO time.
+#[derive(Clone, Copy)]
+struct Times {
+    longest: f64,
+    quickest: f64,
+}
+
 struct Door {
     at: SocketAddr,
     backlog: usize,
@@ -91,13 +107,13 @@
 impl Phase {
     fn until(self) -> f64 {
         match self {
-            Phase::Arriving(until) | Phase::Retiring(until) => until,
+            Phase::Arriving(until) | Phase::Lingering(until) | Phase::Retiring(until) => until,
             _ => f64::INFINITY,
         }
     }
 }
 
-fn advance(phase: Phase, exchange: &mut Exchange, door: &Door, longest: f64) -> Result<Phase, String> {
+fn advance(phase: Phase, exchange: &mut Exchange, door: &Door, times: Times) -> Result<Phase, String> {
     Ok(match phase {
         Phase::Starting if exchange.stop_asked => Phase::Done,
         // Ready only once something can be served: the front asks as soon as it gets through.
@@ -113,11 +129,17 @@
         }
         Phase::Serving if exchange.stop_asked => {
             info!(exchange.log, "stopping"; "in_hand" => exchange.statements.in_hand());
+            exchange.stops_at = exchange.now + times.longest.min(COUNTED) + KILL - exchange.upkeep.connect;
             Phase::Arriving(exchange.now + ARRIVALS)
         }
         Phase::Arriving(until) if exchange.now >= until => {
+            exchange.shut();
+            // The last statements still need their time.
+            Phase::Lingering(exchange.stops_at - times.quickest)
+        }
+        Phase::Lingering(until) if exchange.is_empty() || exchange.now >= until => {
             exchange.retire();
-            Phase::Retiring(exchange.now + longest)
+            Phase::Retiring(exchange.now + times.longest)
         }
         Phase::Retiring(until) if exchange.is_empty() || exchange.now >= until => Phase::Done,
         phase => phase,
--- a/crates/ottersill/src/memory/alarms.rs
+++ b/crates/ottersill/src/memory/alarms.rs
@@ -1,4 +1,4 @@
-//! What falls due by time. Holds at most one alarm for each line and one each for discovery and listener; each is taken out when
+//! What falls due by time. Holds at most one alarm for each line and client, one each for discovery and listener; each is taken out when
 //! it is due, moved or its owner ends.
 
 use std::collections::BTreeSet;
@@ -6,6 +6,7 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Alarm {
     Line(usize),
+    Client(usize),
     Discovery,
     /// Clients wait at the door.
     Listener,
--- a/crates/ottersill/src/memory/clients.rs
+++ b/crates/ottersill/src/memory/clients.rs
@@ -6,6 +6,7 @@
 use calloop::RegistrationToken;
 use socket2::Socket;
 
+use crate::memory::alarms::Set;
 use crate::wire::socket::Outbox;
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -36,6 +37,11 @@
 pub struct Client {
     pub session: Session,
     pub since: f64,
+    /// When the message that is coming in began, or the connection, until a first statement has come.
+    pub begun: f64,
+    pub alarm: Option<Set>,
+    /// Bytes dropped since its dismissal.
+    pub dropped: usize,
     /// False if it was let in only to be told that there is no room.
     pub welcome: bool,
     pub socket: Rc<Socket>,
--- a/crates/ottersill/src/memory/statements.rs
+++ b/crates/ottersill/src/memory/statements.rs
@@ -1,5 +1,7 @@
 //! Statements in hand, by the number that the facade gave them.
 
+use std::collections::BTreeSet;
+
 use crate::memory::counters::Counters;
 use crate::wire::statement::Text;
 
@@ -33,6 +35,8 @@
 pub struct Held {
     pub stage: Stage,
     pub client: usize,
+    /// Of the statement's `id`, by which hosts know its copies.
+    pub id: u64,
     /// Outlives the message it came in, as it may be sent more than once; dropped with the final answer.
     pub text: Text,
     /// When its client stops waiting.
@@ -44,6 +48,8 @@
 pub struct Statements {
     held: Vec<Held>,
     in_hand: usize,
+    /// The ids of those in hand; each leaves with its statement.
+    ids: BTreeSet<u64>,
 }
 
 impl Statements {
@@ -63,9 +69,13 @@
         let held = &mut self.held[index];
         counters.must(held.stage.may_become(next), "a statement goes its ways only");
         match (held.stage, next) {
-            (Stage::Vacant, _) => self.in_hand += 1,
+            (Stage::Vacant, _) => {
+                self.in_hand += 1;
+                self.ids.insert(held.id);
+            }
             (_, Stage::Vacant) => {
                 self.in_hand -= 1;
+                self.ids.remove(&held.id);
                 held.text = Text::default();
             }
             // Never sent again.
@@ -79,6 +89,10 @@
         self.held.get(index).filter(|held| held.stage != Stage::Vacant)
     }
 
+    pub fn is_open(&self, id: u64) -> bool {
+        self.ids.contains(&id)
+    }
+
     pub fn in_hand(&self) -> usize {
         self.in_hand
     }
--- a/crates/ottersill/src/wire/client_side.rs
+++ b/crates/ottersill/src/wire/client_side.rs
@@ -20,6 +20,13 @@
 /// Accepted in one turn, so that a crowd of new connections holds up no answer.
 const ACCEPTS: usize = 64;
 
+/// A connection with no statement open may be closed after so many seconds, as the service page has it.
+const IDLE: f64 = 2.0;
+/// Who has sent nothing that can be answered is owed an error or a close this long after connecting; seconds.
+const OWED: f64 = 3.0;
+/// Read and dropped of a dismissed client, so that it can read why, before it is closed all the same.
+const DROPPED: usize = 16 * frame::LONGEST;
+
 impl Exchange {
     pub fn listener_is_ready(&mut self) {
         if self.accept(ACCEPTS) {
@@ -31,7 +38,7 @@
 
     /// Once nobody is at the door of a router that retires.
     pub fn close_door(&mut self) {
-        if self.retiring && self.crowd.is_none() {
+        if self.shutting && self.crowd.is_none() {
             if let Some((_, token)) = self.listener.take() {
                 self.handle.remove(token);
             }
@@ -79,9 +86,13 @@
         if let Ok((socket, token)) = self.attend(socket, Party::Client(id)) {
             let (inbox, outbox) = (BytesMut::new(), Outbox::default());
             let (session, since) = (Session::Greeting, self.now);
+            let alarm = Some(self.alarms.set(since + OWED - self.upkeep.connect, Alarm::Client(id)));
             self.clients.insert(Client {
                 session,
                 since,
+                begun: since,
+                alarm,
+                dropped: 0,
                 welcome,
                 socket,
                 token,
@@ -101,6 +112,49 @@
         self.counters.must(client.session.may_become(next), "a client connection goes its ways only");
         client.session = next;
         client.since = self.now;
+        if !matches!(next, Session::Busy(_)) && client.alarm.is_none() {
+            client.alarm = Some(self.alarms.set(self.now + IDLE, Alarm::Client(id)));
+        }
+    }
+
+    /// When this client connection has had its time; never while a statement is in hand.
+    fn due_at(&self, client: &Client) -> f64 {
+        // What is owed by then has to get there.
+        let owed = OWED - self.upkeep.connect;
+        match client.session {
+            Session::Busy(_) => f64::INFINITY,
+            // Nothing that was sent ahead is cut off, and an answer that nobody reads is no reason to stay.
+            Session::Greeting | Session::Idle if !client.inbox.is_empty() || !client.used => {
+                client.begun + owed
+            }
+            Session::Idle if !client.outbox.is_empty() => client.since + owed,
+            _ => client.since + IDLE,
+        }
+    }
+
+    /// Guards against clients that connect and say nothing, stop halfway, or ask once and stay: each would hold a
+    /// descriptor, and the usual clients find no room.
+    pub fn client_is_due(&mut self, id: usize) {
+        self.clients[id].alarm = None;
+        // A last look: what has come meanwhile is taken in instead.
+        self.client_is_ready(id);
+        let Some(client) = self.clients.get(id) else { return };
+        let due_at = self.due_at(client);
+        if due_at > self.now {
+            if due_at.is_finite() {
+                let alarm = Some(self.alarms.set(due_at, Alarm::Client(id)));
+                self.clients[id].alarm = alarm;
+            }
+            return;
+        }
+        self.counters.clients_closed_idle += 1;
+        let halfway = matches!(client.session, Session::Greeting | Session::Idle) && !client.inbox.is_empty();
+        if halfway && client.outbox.is_empty() {
+            self.dismiss(id, Code::ProtocolViolation, "a message that does not come whole");
+            self.read_queries(id);
+        } else {
+            self.close_client(id);
+        }
     }
 
     /// Closes the client connection that has stood idle for longest.
@@ -138,6 +192,7 @@
     fn close_client(&mut self, id: usize) {
         let client = self.clients.remove(id);
         self.stored -= client.stored;
+        self.alarms.clear(client.alarm);
         if self.crowd.is_some() {
             self.again(Party::Listener);
         }
@@ -176,6 +231,9 @@
 
     pub fn client_is_ready(&mut self, id: usize) {
         let Some(client) = self.clients.get_mut(id) else { return };
+        if client.inbox.is_empty() && client.used {
+            client.begun = self.now;
+        }
         let read = client.outbox.flush(&client.socket).and_then(|_| {
             // One message ahead of the one in hand, then the client has to wait.
             socket::read(&client.socket, &mut client.inbox, frame::LONGEST)
@@ -202,7 +260,11 @@
                 Session::Leaving => return self.close_client(id),
                 Session::Dismissed if self.retiring => return self.close_client(id),
                 Session::Dismissed => {
+                    client.dropped += client.inbox.len();
                     client.inbox.clear();
+                    if client.dropped > DROPPED {
+                        return self.close_client(id);
+                    }
                     // It fails where the client has ended already, which the next reading shows.
                     let _ = client.socket.shutdown(Shutdown::Write);
                     if client.unread {
@@ -277,19 +339,26 @@
         if !self.clients[client].welcome {
             return self.leave(client, Code::TooMany, "no descriptor is left for this client");
         }
+        if self.statements.is_open(said.id) {
+            // Sent on, it would be taken for a second copy of the one that is open.
+            return self.tell_strange(client, Code::ProtocolViolation, "a statement with this id is open");
+        }
+        let until = self.now + said.time_left.min(self.names.timeouts[workload]);
+        let gives_up_at = until.min(self.stops_at);
+        let time_left = (gives_up_at - self.now).max(0.0);
+        let id = said.id;
         let stmt = Statement {
             workload,
             group,
             tenant: None,
             session: said.session,
-            time_left: said.time_left,
+            time_left,
             since_write: said.after.map(|after| (self.now - after).max(0.0)),
             repeat: said.repeat,
         };
         self.counters.statements += 1;
-        let gives_up_at = self.now + said.time_left;
         self.open(stmt, |exchange, index| {
-            let held = Held { stage: Stage::Waiting, client, text, gives_up_at };
+            let held = Held { stage: Stage::Waiting, client, id, text, gives_up_at };
             exchange.statements.enter(index, held, &mut exchange.counters);
             exchange.session_passes(client, Session::Busy(index));
             exchange.clients[client].used = true;
--- a/crates/ottersill/src/wire/exchange.rs
+++ b/crates/ottersill/src/wire/exchange.rs
@@ -87,8 +87,12 @@
     pub listener: Option<(Rc<Socket>, RegistrationToken)>,
     /// Set while clients wait at the door for one to leave.
     pub crowd: Option<Set>,
-    /// After SIGTERM and the time in which clients still come: connections are closed once they idle.
+    /// After SIGTERM and the time in which clients still come: the door closes once nobody is at it.
+    pub shutting: bool,
+    /// The last part of a stop: connections are closed once they idle.
     pub retiring: bool,
+    /// What is taken in is answered by then; never, unless the router has been told to stop.
+    pub stops_at: f64,
     /// What signals have asked for.
     pub stop_asked: bool,
     pub print_asked: bool,
@@ -128,7 +132,9 @@
             stored: 0,
             listener: None,
             crowd: None,
+            shutting: false,
             retiring: false,
+            stops_at: f64::INFINITY,
             stop_asked: false,
             print_asked: false,
             reload_asked: false,
@@ -181,6 +187,7 @@
                     self.again(Party::Listener);
                 }
                 Alarm::Line(line) => self.line_is_due(line),
+                Alarm::Client(client) => self.client_is_due(client),
             }
             self.carry_out();
         }
@@ -235,12 +242,18 @@
         self.tell(News::ListFailed);
     }
 
-    /// Takes in who is at the door, closes it, and from now on ends client connections once they idle.
-    pub fn retire(&mut self) {
+    /// Takes in who is at the door and closes it; the connections that there are go on.
+    pub fn shut(&mut self) {
         // Whom the machine has let in may have sent a statement, which then counts as taken.
         self.accept(usize::MAX);
-        self.retiring = true;
+        self.shutting = true;
         self.close_door();
+        self.carry_out();
+    }
+
+    /// From now on ends client connections once they idle.
+    pub fn retire(&mut self) {
+        self.retiring = true;
         self.close_idle_clients();
         self.carry_out();
     }
--- a/crates/ottersill/src/wire/frame.rs
+++ b/crates/ottersill/src/wire/frame.rs
@@ -37,7 +37,8 @@
     /// The name and value of a ParameterStatus.
     pub fn parameter(&self) -> Option<(&[u8], &[u8])> {
         let mut parts = self.body().split(|byte| *byte == 0);
-        Some((parts.next()?, parts.next()?))
+        let (name, value, rest) = (parts.next()?, parts.next()?, parts.next()?);
+        (rest.is_empty() && parts.next().is_none()).then_some((name, value))
     }
 
     /// The only column of a DataRow of one.
@@ -47,9 +48,25 @@
         (body[..2] == [0, 1] && body.len() == 6 + length).then(|| &body[6..])
     }
 
-    /// The text of a Query, without the zero at its end.
+    /// The text of a Query, without the zero at its end, behind which nothing comes.
     pub fn query(&self) -> Option<Bytes> {
-        self.body().iter().position(|byte| *byte == 0).map(|end| self.0.slice(5..5 + end))
+        let end = self.body().iter().position(|byte| *byte == 0)?;
+        (end + 1 == self.body().len()).then(|| self.0.slice(5..5 + end))
+    }
+
+    /// Whether this is a RowDescription of one column.
+    pub fn describes_one(&self) -> bool {
+        let Some((count, column)) = self.body().split_at_checked(2) else { return false };
+        let name = column.iter().position(|byte| *byte == 0);
+        // Table, column, type, its size and modifier, format.
+        count == [0, 1] && name.is_some_and(|end| column.len() == end + 1 + 18)
+    }
+
+    /// The tag of a CommandComplete.
+    pub fn command(&self) -> Option<&[u8]> {
+        let (end, tag) = self.body().split_last()?;
+        (*end == 0 && !tag.is_empty() && tag.iter().all(|b| b.is_ascii_graphic() || *b == b' '))
+            .then_some(tag)
     }
 }
 
--- a/crates/ottersill/src/wire/host_side.rs
+++ b/crates/ottersill/src/wire/host_side.rs
@@ -189,22 +189,29 @@
                 (Ok(false), Course::Greeting | Course::Sent) => {}
                 (Ok(true), Course::Greeting) => self.welcome(id),
                 (Ok(true), Course::Sent) => self.answered(id),
-                (Err(nonsense), _) => {
-                    self.counters.host_nonsense += 1;
-                    self.break_line(id, nonsense);
-                    return false;
-                }
-                // An answer to nothing.
-                _ => {
-                    self.counters.host_nonsense += 1;
-                    self.break_line(id, "an answer to nothing");
-                    return false;
-                }
+                (Err(nonsense), _) => return self.spoil_line(id, nonsense),
+                _ => return self.spoil_line(id, "an answer to nothing"),
             }
         }
         false
     }
 
+    /// The host has said what is no answer: its connection is of no further use. What was sent may have run, but the
+    /// host is there: taken for a broken connection, this would cost it its role.
+    fn spoil_line(&mut self, id: usize, nonsense: &str) -> bool {
+        self.counters.host_nonsense += 1;
+        let line = &mut self.lines[id];
+        if line.course != Course::Sent {
+            self.break_line(id, nonsense);
+            return false;
+        }
+        let (host, load, since) = (line.host, line.load.take(), line.since);
+        self.log_broken(host, Course::Sent, nonsense);
+        self.close_line(id);
+        self.settle(load, host, since, Ending::Error, Reply::default());
+        false
+    }
+
     /// The line is up: what it was opened for goes out, unless that is over by now.
     fn welcome(&mut self, id: usize) {
         if self.lines[id].reply.unwelcome().is_some() {
--- a/crates/ottersill/src/wire/reply.rs
+++ b/crates/ottersill/src/wire/reply.rs
@@ -9,7 +9,6 @@
 pub struct Reply {
     description: Option<Bytes>,
     row: Option<Message>,
-    rows: usize,
     complete: Option<Bytes>,
     code: Option<[u8; 5]>,
     pub note: Report,
@@ -26,7 +25,9 @@
                 _ => note.role,
             }
         }
-        b"lsn_ms" => note.lsn = value.parse().ok().filter(|ms| *ms > 0.0).map(|ms: f64| ms / 1000.0),
+        b"lsn_ms" => {
+            note.lsn = value.parse().ok().filter(|ms: &f64| ms.is_finite() && *ms > 0.0).map(|ms| ms / 1000.0)
+        }
         _ => {}
     }
 }
@@ -35,7 +36,7 @@
 fn report(text: &str) -> Report {
     let mut report = Report::default();
     for (name, value) in text.split(',').filter_map(|pair| pair.trim().split_once('=')) {
-        let Ok(value) = value.parse::<f64>() else { continue };
+        let Some(value) = value.parse::<f64>().ok().filter(|value| value.is_finite()) else { continue };
         match name {
             "x0" => report.lsn = Some(value),
             "x1" => report.role = Some(if value > 0.5 { Role::Primary } else { Role::Replica }),
@@ -46,42 +47,55 @@
 }
 
 impl Reply {
-    /// Takes one message in; true with ReadyForQuery, which ends the answer.
+    /// Takes one message in; true with ReadyForQuery, which ends the answer. Whatever is not just as an answer of
+    /// one row or an error has to be is spoilt: it proves nothing, and nothing of it may be passed on.
     pub fn take(&mut self, message: Message) -> Result<bool, Nonsense> {
+        let none = self.says_nothing();
         match message.tag() {
-            b'T' => self.description = Some(message.0),
-            b'D' => {
-                self.rows += 1;
+            b'T' if none && message.describes_one() => self.description = Some(message.0),
+            b'D' if self.description.is_some() && self.row.is_none() && message.column().is_some() => {
                 self.row = Some(message);
             }
-            b'C' | b'I' => self.complete = Some(message.0),
-            b'E' => {
-                let code = message.field(b'C').and_then(|code| code.try_into().ok());
-                self.code = Some(code.ok_or("an error without its code")?);
+            b'C' if self.row.is_some() && self.complete.is_none() && message.command().is_some() => {
+                self.complete = Some(message.0);
+            }
+            b'I' if none && message.body().is_empty() => self.complete = Some(message.0),
+            b'E' if self.complete.is_none() && self.code.is_none() => {
+                let ends = message.body().ends_with(&[0, 0]);
+                let code =
+                    message.field(b'C').filter(|code| ends && code.iter().all(u8::is_ascii_alphanumeric));
+                self.code =
+                    Some(code.and_then(|code| code.try_into().ok()).ok_or("an error without its code")?);
             }
             b'S' => {
                 let (name, value) = message.parameter().ok_or("a parameter without its value")?;
-                let value = std::str::from_utf8(value).map_err(|_| "a parameter that is not UTF-8")?;
-                if name == b"health" {
-                    self.report = Some(report(value));
+                // What can't be read is no report; the answer that it came with may be good all the same.
+                if let Ok(value) = std::str::from_utf8(value) {
+                    self.hear(name, value);
                 }
-                note(&mut self.note, name, value);
             }
-            b'Z' => return Ok(true),
+            b'Z' if message.body().len() == 1 => return Ok(true),
             b'N' | b'R' | b'K' | b'A' => {}
             _ => return Err("a message that answers no simple query"),
         }
         Ok(false)
     }
 
+    fn hear(&mut self, name: &[u8], value: &str) {
+        if name == b"health" {
+            self.report = Some(report(value));
+        }
+        note(&mut self.note, name, value);
+    }
+
     /// Nothing but notices and parameters, which a host may send at any time.
     pub fn says_nothing(&self) -> bool {
-        self.code.is_none() && self.rows == 0 && self.description.is_none() && self.complete.is_none()
+        self.code.is_none() && self.description.is_none() && self.complete.is_none()
     }
 
     /// The row is there whole, whatever comes after it.
     pub fn is_completed(&self) -> bool {
-        self.code.is_none() && self.rows == 1 && self.description.is_some() && self.complete.is_some()
+        self.code.is_none() && self.row.is_some() && self.complete.is_some()
     }
 
     /// What an execution has come to. 53300 promises that nothing ran, and no other code does but the misses.
--- a/crates/ottersill/src/wire/statement.rs
+++ b/crates/ottersill/src/wire/statement.rs
@@ -1,5 +1,6 @@
 //! A statement's text: what its comment says, and the same text again with another time left.
 
+use std::collections::BTreeSet;
 use std::hash::{DefaultHasher, Hash, Hasher};
 use std::ops::Range;
 
@@ -17,6 +18,8 @@
 
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Said<'a> {
+    /// A number for the statement's `id`.
+    pub id: u64,
     pub workload: &'a str,
     pub cluster: u64,
     /// Seconds for which the client waits.
@@ -33,6 +36,10 @@
         let text = std::str::from_utf8(whole).map_err(|_| "the statement is not UTF-8")?;
         let open = text.rfind("/*").ok_or("the statement has no comment")? + 2;
         let close = open + text[open..].find("*/").ok_or("the comment does not end")?;
+        if !text[close + 2..].trim_end_matches(';').trim().is_empty() {
+            return Err("something stands behind the comment");
+        }
+        let mut seen = BTreeSet::new();
         let (mut id, mut workload, mut cluster, mut time_left) = (None, None, None, None);
         let (mut after, mut repeat, mut digits) = (None, false, 0..0);
         let mut at = open;
@@ -40,6 +47,9 @@
             let start = at + pair.len() - pair.trim_start().len();
             at += pair.len() + 1;
             let Some((name, value)) = pair.trim().split_once('=') else { continue };
+            if !seen.insert(name) {
+                return Err("the comment says something twice");
+            }
             match name {
                 "id" => id = Some(value),
                 "c" => workload = Some(value),
@@ -49,13 +59,20 @@
                     let from = start + 2;
                     digits = from..from + value.len();
                 }
-                "after" => after = value.parse::<f64>().ok().filter(|ms| *ms > 0.0).map(|ms| ms / 1000.0),
+                "after" => {
+                    after = value
+                        .parse::<f64>()
+                        .ok()
+                        .filter(|ms| ms.is_finite() && *ms > 0.0)
+                        .map(|ms| ms / 1000.0)
+                }
                 "r" => repeat = value == "1",
                 _ => {}
             }
         }
-        id.ok_or("the comment has no id")?;
+        let id = id.filter(|id| !id.is_empty()).ok_or("the comment has no id")?;
         let said = Said {
+            id: number(id),
             workload: workload.ok_or("the comment has no c")?,
             cluster: cluster.ok_or("the comment has no cluster, or one that is no number")?,
             time_left: time_left.ok_or("the comment has no d, or one that is no number")?,
@@ -89,9 +106,13 @@
 /// The first quoted text is the key, which names the session where there are any.
 fn session(text: &str) -> Option<u64> {
     let key = text.split('\'').nth(1)?;
-    Some(u64::from_str_radix(key, 16).unwrap_or_else(|_| {
+    Some(number(key))
+}
+
+fn number(text: &str) -> u64 {
+    u64::from_str_radix(text, 16).unwrap_or_else(|_| {
         let mut hasher = DefaultHasher::new();
-        key.hash(&mut hasher);
+        text.hash(&mut hasher);
         hasher.finish()
-    }))
+    })
 }
--- a/crates/terms/src/lib.rs
+++ b/crates/terms/src/lib.rs
@@ -89,6 +89,8 @@
 /// What a front itself keeps of the settings.
 pub struct Names {
     pub workloads: Vec<String>,
+    /// The statement timeout of each: no client of theirs waits for longer.
+    pub timeouts: Vec<f64>,
     pub tenants: Vec<String>,
     pub sites: Vec<String>,
     /// Clock time, in seconds, from which positions are counted.
@@ -155,6 +157,7 @@
         let rows = self.profiles.iter().zip(domain.class_read.iter().zip(&domain.oldest_data_ms));
         let names = Names {
             workloads: self.profiles.iter().map(|p| p.name.clone()).collect(),
+            timeouts: self.profiles.iter().map(|p| p.deadline_ms / 1000.0).collect(),
             tenants: self.accounts.iter().map(|a| a.name.clone()).collect(),
             sites: self.localities.clone(),
             zero: domain.counted_from_ms / 1000.0,
--- a/example/src/lib.rs
+++ b/example/src/lib.rs
@@ -27,6 +27,10 @@
     Closes,
     /// Takes new connections and never greets on them.
     Mute,
+    /// Answers statements with a row that is shorter than it says.
+    Spoils,
+    /// Answers each statement twice.
+    Echoes,
 }
 
 impl Conduct {
@@ -41,6 +45,8 @@
             "babbles" => Conduct::Babbles,
             "closes" => Conduct::Closes,
             "mute" => Conduct::Mute,
+            "spoils" => Conduct::Spoils,
+            "echoes" => Conduct::Echoes,
             _ => return None,
         })
     }
@@ -184,9 +190,13 @@
                 Conduct::Babbles if is_statement(&text) => b"?what is this\0".to_vec(),
                 Conduct::Full if is_statement(&text) => error("53300", "too much to do"),
                 Conduct::Faulty if is_statement(&text) => error("XX000", "something broke"),
+                Conduct::Spoils if is_statement(&text) => spoilt(self.answer(number, &text)),
                 _ => self.answer(number, &text),
             };
             out.extend(self.ready(number));
+            if conduct == Conduct::Echoes && is_statement(&text) {
+                out.extend(out.clone());
+            }
             client.write_all(&out)?;
             if conduct == Conduct::Closes {
                 return client.shutdown(Shutdown::Both);
@@ -326,6 +336,15 @@
     out
 }
 
+/// The length of the row's only column made one longer than it is.
+fn spoilt(mut answer: Vec<u8>) -> Vec<u8> {
+    let at = 1 + u32::from_be_bytes([answer[1], answer[2], answer[3], answer[4]]) as usize;
+    if answer[0] == b'T' {
+        answer[at + 10] += 1;
+    }
+    answer
+}
+
 /// A client: one session with a router, a message at a time.
 pub struct Client {
     pub socket: TcpStream,
