Keep the door open while a stop lingers: where several routers restart, clients find somebody

What is left: a client that needs a new connection while the other router is down was refused. At fault: the phases in serve.rs.

--- a/crates/ottersill/src/lifecycle/serve.rs
+++ b/crates/ottersill/src/lifecycle/serve.rs
@@ -24,11 +24,9 @@
     /// No list has named a host yet.
     Starting,
     Serving,
-    /// Asked to stop; clients still come until then.
+    /// Asked to stop; clients still come, and go on on the connections they have, until then: turned away at once, they
+    /// would find nobody where several routers restart.
     Arriving(f64),
-    /// The door is closed, and clients go on on the connections they have until then: closed at once, they would all
-    /// come to the other routers, or find none where several restart.
-    Lingering(f64),
     /// What was taken in is answered, what idles is closed; until then at the latest.
     Retiring(f64),
     Done,
@@ -44,10 +42,7 @@
     let upkeep = charter.settings.upkeep().map_err(|e| format!("NODE_CONFIG: settings.{e}"))?;
     let (terms, names) =
         charter.settings.clone().terms(charter.seed).map_err(|e| format!("NODE_CONFIG: settings.{e}"))?;
-    let times = Times {
-        longest: terms.workloads.iter().map(|w| w.statement_timeout).fold(0.0, f64::max),
-        quickest: terms.workloads.iter().map(|w| w.slo_time).fold(f64::INFINITY, f64::min),
-    };
+    let longest = terms.workloads.iter().map(|w| w.statement_timeout).fold(0.0, f64::max);
     let mut events = EventLoop::try_new().map_err(|e| format!("event loop: {e}"))?;
     let signals = Signals::new(&[Signal::SIGTERM, Signal::SIGINT, Signal::SIGUSR1, Signal::SIGHUP]);
     let signals = signals.map_err(|e| format!("signals: {e}"))?;
@@ -71,7 +66,7 @@
     let mut reload = Reload::new(charter);
     let mut phase = Phase::Starting;
     while phase != Phase::Done {
-        phase = advance(phase, &mut exchange, &door, times)?;
+        phase = advance(phase, &mut exchange, &door, longest)?;
         let next = exchange.next_at().min(phase.until()).min(reload.next_at());
         let wait = (next - exchange.clock.now()).clamp(0.0, 1.0);
         let wait = Duration::from_secs_f64(wait);
@@ -92,13 +87,6 @@
     Ok(())
 }
 
-/// The longest statement timeout and the shortest SLO time.
-#[derive(Clone, Copy)]
-struct Times {
-    longest: f64,
-    quickest: f64,
-}
-
 struct Door {
     at: SocketAddr,
     backlog: usize,
@@ -107,13 +95,13 @@
 impl Phase {
     fn until(self) -> f64 {
         match self {
-            Phase::Arriving(until) | Phase::Lingering(until) | Phase::Retiring(until) => until,
+            Phase::Arriving(until) | Phase::Retiring(until) => until,
             _ => f64::INFINITY,
         }
     }
 }
 
-fn advance(phase: Phase, exchange: &mut Exchange, door: &Door, times: Times) -> Result<Phase, String> {
+fn advance(phase: Phase, exchange: &mut Exchange, door: &Door, longest: f64) -> Result<Phase, String> {
     Ok(match phase {
         Phase::Starting if exchange.stop_asked => Phase::Done,
         // Ready only once something can be served: the front asks as soon as it gets through.
@@ -129,17 +117,13 @@
         }
         Phase::Serving if exchange.stop_asked => {
             info!(exchange.log, "stopping"; "in_hand" => exchange.statements.in_hand());
-            exchange.stops_at = exchange.now + times.longest.min(COUNTED) + KILL - exchange.upkeep.connect;
-            Phase::Arriving(exchange.now + ARRIVALS)
+            exchange.stops_at = exchange.now + longest.min(COUNTED) + KILL - exchange.upkeep.connect;
+            // Half of it, as the last statements need their time too.
+            Phase::Arriving((exchange.now + ARRIVALS).max((exchange.now + exchange.stops_at) / 2.0))
         }
         Phase::Arriving(until) if exchange.now >= until => {
-            exchange.shut();
-            // The last statements still need their time.
-            Phase::Lingering(exchange.stops_at - times.quickest)
-        }
-        Phase::Lingering(until) if exchange.is_empty() || exchange.now >= until => {
             exchange.retire();
-            Phase::Retiring(exchange.now + times.longest)
+            Phase::Retiring(exchange.now + longest)
         }
         Phase::Retiring(until) if exchange.is_empty() || exchange.now >= until => Phase::Done,
         phase => phase,
--- a/crates/ottersill/src/wire/client_side.rs
+++ b/crates/ottersill/src/wire/client_side.rs
@@ -38,7 +38,7 @@
 
     /// Once nobody is at the door of a router that retires.
     pub fn close_door(&mut self) {
-        if self.shutting && self.crowd.is_none() {
+        if self.retiring && self.crowd.is_none() {
             if let Some((_, token)) = self.listener.take() {
                 self.handle.remove(token);
             }
--- a/crates/ottersill/src/wire/exchange.rs
+++ b/crates/ottersill/src/wire/exchange.rs
@@ -87,9 +87,7 @@
     pub listener: Option<(Rc<Socket>, RegistrationToken)>,
     /// Set while clients wait at the door for one to leave.
     pub crowd: Option<Set>,
-    /// After SIGTERM and the time in which clients still come: the door closes once nobody is at it.
-    pub shutting: bool,
-    /// The last part of a stop: connections are closed once they idle.
+    /// After SIGTERM and the time in which clients still come: connections are closed once they idle.
     pub retiring: bool,
     /// What is taken in is answered by then; never, unless the router has been told to stop.
     pub stops_at: f64,
@@ -132,7 +130,6 @@
             stored: 0,
             listener: None,
             crowd: None,
-            shutting: false,
             retiring: false,
             stops_at: f64::INFINITY,
             stop_asked: false,
@@ -242,18 +239,12 @@
         self.tell(News::ListFailed);
     }
 
-    /// Takes in who is at the door and closes it; the connections that there are go on.
-    pub fn shut(&mut self) {
+    /// Takes in who is at the door, closes it, and from now on ends client connections once they idle.
+    pub fn retire(&mut self) {
         // Whom the machine has let in may have sent a statement, which then counts as taken.
         self.accept(usize::MAX);
-        self.shutting = true;
-        self.close_door();
-        self.carry_out();
-    }
-
-    /// From now on ends client connections once they idle.
-    pub fn retire(&mut self) {
         self.retiring = true;
+        self.close_door();
         self.close_idle_clients();
         self.carry_out();
     }
