From a quarter of the descriptors on, each client that comes has the longest idle one closed

A trace of each client connection showed them growing to 182 within 3 s, most of them used once and idle. Clients hold a third of the descriptors for requests at most (128 here), so those that ask once and stay left the others none; the router began to close idle ones at half (183), and by age only at 2 s. At fault: the berths in charter.rs and accept() in client_side.rs.

--- a/crates/ottersill/src/lifecycle/charter.rs
+++ b/crates/ottersill/src/lifecycle/charter.rs
@@ -48,7 +48,8 @@
 }
 
 impl Limits {
-    /// Every client may have one execution out, so clients get half at most, and lines what clients leave. A quarter
+    /// Every client may have one execution out, so clients get half at most, and lines what clients leave. Clients hold
+    /// a third for requests, as the service page has it: from a quarter on there must be room to come. A quarter
     /// of the memory is for statements; answers on both sides and the program itself get the rest.
     pub fn berths(&self) -> Result<Berths, String> {
         let all = self.sockets.saturating_sub(OWN_DESCRIPTORS + SPARE);
@@ -56,7 +57,13 @@
             let least = OWN_DESCRIPTORS + SPARE + 2;
             return Err(format!("limits.sockets: expected {least} at least, found {}", self.sockets));
         }
-        Ok(Berths { all, clients: all / 2, spare: SPARE, bytes: (self.memory_mb << 20) / 4 })
+        Ok(Berths {
+            all,
+            clients: all / 2,
+            easy: self.sockets / 4,
+            spare: SPARE,
+            bytes: (self.memory_mb << 20) / 4,
+        })
     }
 }
 
--- a/crates/ottersill/src/wire/client_side.rs
+++ b/crates/ottersill/src/wire/client_side.rs
@@ -57,7 +57,14 @@
                 return false;
             }
             match socket::accept(&listener) {
-                Ok(Some(socket)) => self.admit(socket, room),
+                Ok(Some(socket)) => {
+                    self.admit(socket, room);
+                    // Clients may hold a third of the descriptors for requests: those that ask once and stay would
+                    // leave the others none long before this router is full.
+                    if self.clients.len() > self.berths.easy {
+                        self.close_idle_client();
+                    }
+                }
                 Ok(None) => return false,
                 // It broke before it was accepted.
                 Err(e) if e.kind() == ErrorKind::ConnectionAborted => {}
--- a/crates/ottersill/src/wire/exchange.rs
+++ b/crates/ottersill/src/wire/exchange.rs
@@ -59,6 +59,8 @@
     /// For clients and lines together.
     pub all: usize,
     pub clients: usize,
+    /// With more of them than this, each that comes has the longest idle one closed.
+    pub easy: usize,
     /// Beside all these, for clients that are let in to be told that there is no room.
     pub spare: usize,
     /// For statements of clients, whole or not.
--- a/crates/ottersill/tests/service.rs
+++ b/crates/ottersill/tests/service.rs
@@ -1,6 +1,6 @@
 //! Whole statements over loopback: the program itself between a client and a toy store.
 
-use std::io::{BufRead, BufReader, Read, Write};
+use std::io::{BufRead, BufReader, ErrorKind, Read, Write};
 use std::net::{SocketAddr, TcpStream};
 use std::path::PathBuf;
 use std::process::{Child, ChildStdout, Command, Stdio};
@@ -598,3 +598,22 @@
     while client.ask(&read(2000)).is_ok() {}
     assert_eq!(service.exit().0, Some(0));
 }
+
+/// Found on a recorded day: clients that ask once and stay held all the connections that clients may hold.
+#[test]
+fn clients_that_ask_once_and_stay_leave_room_to_others() {
+    let service = service(80);
+    let mut stays = Vec::new();
+    for _ in 0..30 {
+        let mut client = service.client();
+        assert!(client.ask(&read(2000)).expect("an answer").starts_with("row:"));
+        stays.push(client);
+    }
+    let patience = Some(Duration::from_millis(500));
+    stays.iter().for_each(|client| client.socket.set_read_timeout(patience).expect("a time-out"));
+    let is_closed = |client: &mut Client| client.hear().is_err_and(|e| e.kind() == ErrorKind::UnexpectedEof);
+    let closed: Vec<bool> = stays.iter_mut().take(14).map(is_closed).collect();
+    assert!(closed.iter().take(8).all(|closed| *closed), "the longest idle go first: {closed:?}");
+    let last = stays.last_mut().expect("a client");
+    assert!(last.ask(&read(2000)).expect("an answer").starts_with("row:"));
+}
