Silent clients make room first, and all idle ones beyond a quarter go

At fault: close_idle_client() went by age alone, accept() closed one. Silent ones go first for room; those that have asked are counted by themselves and closed down to a quarter.

--- a/crates/ottersill/src/wire/client_side.rs
+++ b/crates/ottersill/src/wire/client_side.rs
@@ -61,9 +61,8 @@
                     self.admit(socket, room);
                     // Clients may hold a third of the descriptors for requests: those that ask once and stay would
                     // leave the others none long before this router is full.
-                    if self.clients.len() > self.berths.easy {
-                        self.close_idle_client();
-                    }
+                    let asked = |exchange: &Exchange| exchange.clients.iter().filter(|(_, c)| c.used).count();
+                    while asked(self) > self.berths.easy && self.close_idle_client(true) {}
                 }
                 Ok(None) => return false,
                 // It broke before it was accepted.
@@ -80,7 +79,10 @@
 
     /// Whether one more client can be taken on; makes room by ending what idles.
     fn has_room(&mut self) -> bool {
-        (self.clients.len() < self.berths.clients || self.close_idle_client())
+        // Who has said nothing yet goes first: a crowd of those must not cost the others their connections.
+        (self.clients.len() < self.berths.clients
+            || self.close_idle_client(false)
+            || self.close_idle_client(true))
             && (self.clients.len() + self.lines.len() < self.berths.all || self.close_idle_line())
     }
 
@@ -164,13 +166,17 @@
         }
     }
 
-    /// Closes the client connection that has stood idle for longest.
-    fn close_idle_client(&mut self) -> bool {
+    /// Closes the connection that has stood idle for longest, of the clients that have asked, or that have not.
+    fn close_idle_client(&mut self, asked: bool) -> bool {
         // One that is new has its first statement on the way, for as long as a connection may take to come up.
         let new_since = self.now - self.upkeep.connect;
         let idle = |c: &Client| {
             let waits = matches!(c.session, Session::Idle | Session::Greeting | Session::Dismissed);
-            waits && c.inbox.is_empty() && c.outbox.is_empty() && (c.used || c.since < new_since)
+            waits
+                && c.used == asked
+                && c.inbox.is_empty()
+                && c.outbox.is_empty()
+                && (asked || c.since < new_since)
         };
         let all = self.clients.iter().filter(|(_, c)| idle(c)).map(|(id, c)| (c.since, id));
         let mut all: Vec<(f64, usize)> = all.collect();
--- a/crates/ottersill/src/wire/exchange.rs
+++ b/crates/ottersill/src/wire/exchange.rs
@@ -59,7 +59,7 @@
     /// For clients and lines together.
     pub all: usize,
     pub clients: usize,
-    /// With more of them than this, each that comes has the longest idle one closed.
+    /// With more than this of those that have asked, the longest idle ones are closed as others come.
     pub easy: usize,
     /// Beside all these, for clients that are let in to be told that there is no room.
     pub spare: usize,
--- a/crates/ottersill/tests/service.rs
+++ b/crates/ottersill/tests/service.rs
@@ -617,3 +617,18 @@
     let last = stays.last_mut().expect("a client");
     assert!(last.ask(&read(2000)).expect("an answer").starts_with("row:"));
 }
+
+/// Found on the same day: a crowd that says nothing cost the others, who idle for longer, their connections.
+#[test]
+fn silent_clients_go_before_those_that_have_asked() {
+    let service = service(80);
+    let mut asked = service.client();
+    assert!(asked.ask(&read(2000)).expect("an answer").starts_with("row:"));
+    let connect = |_| {
+        thread::sleep(Duration::from_millis(10));
+        TcpStream::connect(service.at).expect("a connection")
+    };
+    let crowd: Vec<TcpStream> = (0..80).map(connect).collect();
+    assert!(asked.ask(&read(2000)).expect("its connection is kept").starts_with("row:"));
+    drop(crowd);
+}
