What was never sent is given up before half of its time

Ruled out: lines that do not come up (a trace of the giving up shows no execution before it). They are writes that wait for a primary with room until their whole time less 1.4 typical answers is over, as they earn a part after their SLO time. At fault: start_by alone in place().

--- a/crates/core/src/decide.rs
+++ b/crates/core/src/decide.rs
@@ -372,7 +372,9 @@
     fn place(&mut self, now: f64, index: usize, front: &mut impl Front) {
         let held = self.held[index];
         self.draws += 1;
-        if now >= held.start_by {
+        // Never sent and given up after half of its time, a statement costs more than it may still earn.
+        let half = if held.executions > 0 { f64::INFINITY } else { held.stmt.time_left / 2.0 - BEAT };
+        if now >= held.start_by.min(held.arrived + half) {
             self.give_up(now, index, front);
         } else if let Some(host) = self.choose(now, &held) {
             self.execute(now, index, host, front);
--- a/crates/core/tests/decisions.rs
+++ b/crates/core/tests/decisions.rs
@@ -468,3 +468,24 @@
     let held = held_at(&mut world, READ, 3);
     assert!(if answers { held >= least } else { held == least }, "{held}");
 }
+
+/// Given up after half of its time, a statement that was never sent costs more than one that is told in time; one that
+/// has been sent, and proved not to have run, may wait on.
+#[rstest]
+#[case::never_sent(false, 1)]
+#[case::sent_once(true, 0)]
+fn what_was_never_sent_is_given_up_before_half_its_time(#[case] sent: bool, #[case] rejected: usize) {
+    let mut world = World::settled(false, [0.0; 3]);
+    if !sent {
+        world.list(0, Standing::Draining, None);
+    }
+    let write = world.ask(WRITE);
+    if sent {
+        world.list(0, Standing::Draining, None);
+        world.end(write, 0, Ending::ConnectFailed, None);
+    }
+    world.pass(0.9);
+    assert_eq!(world.count(Done::Reject(write)), 0);
+    world.pass(0.1);
+    assert_eq!(world.count(Done::Reject(write)), rejected);
+}
