--- a/crates/core/tests/decisions.rs
+++ b/crates/core/tests/decisions.rs
@@ -475,7 +475,11 @@
 #[case::never_sent(false, 1)]
 #[case::sent_once(true, 0)]
 fn what_was_never_sent_is_given_up_before_half_its_time(#[case] sent: bool, #[case] rejected: usize) {
-    let mut world = World::settled(false, [0.0; 3]);
+    let mut terms = terms(false);
+    // It earns a part after its SLO time, so there is a point in waiting on.
+    terms.workloads[WRITE].late_share = 0.3;
+    let mut world = World::new(terms);
+    world.report(0, Primary, 0.0);
     if !sent {
         world.list(0, Standing::Draining, None);
     }
