--- /dev/null
+++ b/crates/ottersill/tests/mix.rs
@@ -0,0 +1,258 @@
+//! What knowing shapes gains in decisions: one workload with cheap and heavy shapes, the facade and the book over hosts
+//! that queue, on a clock of the test's own. Each seed is played twice, with the book's word and without it.
+
+use std::cmp::Reverse;
+use std::collections::BinaryHeap;
+
+use ottersill_core::Router;
+use ottersill_core::facade::{Ask, Choice, Due, Facade, News};
+use ottersill_core::interface::*;
+use ottersill_statement::book::{Book, Place};
+use ottersill_statement::shape::Key;
+
+const HOSTS: usize = 4;
+const CORES: usize = 4;
+const CHEAP: f64 = 0.004;
+const HEAVY: f64 = 0.4;
+const SLO: f64 = 0.5;
+const TIMEOUT: f64 = 1.5;
+const SECONDS: f64 = 30.0;
+
+fn terms(seed: u64) -> Terms {
+    let workload = Workload {
+        needs: Needs::Any,
+        effect: Effect::Idempotent,
+        importance: 1.0,
+        late_share: 0.3,
+        slo_time: SLO,
+        statement_timeout: TIMEOUT,
+    };
+    Terms {
+        seed,
+        routers: 1,
+        site: None,
+        workloads: vec![workload],
+        tenant_rates: Vec::new(),
+        over_share: 1.0,
+        reports: Reports::WithAnswers,
+        members_check_reads: true,
+        remembers_writes: false,
+        list_on_request: false,
+        may_probe: true,
+        may_cancel: true,
+        max_executions: 4,
+        max_retry_after: 0.5,
+        only_draining_bars: false,
+        cold_part: 1.0,
+        warm_after: 1.0,
+        fall_multiple: 3.0,
+        fall_span: 1.0,
+    }
+}
+
+#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+enum Event {
+    Ended { stmt: usize, host: usize, completed: bool, sent: u64 },
+    Arrives,
+}
+
+/// Microseconds order totally.
+fn micros(at: f64) -> u64 {
+    (at * 1e6) as u64
+}
+
+struct Day {
+    facade: Facade,
+    book: Book,
+    knows: bool,
+    now: f64,
+    events: BinaryHeap<Reverse<(u64, Event)>>,
+    free_at: [[f64; CORES]; HOSTS],
+    /// By the statement's number: when it came, its own work, where its shape is kept.
+    held: Vec<(f64, f64, Option<Place>)>,
+    draws: u64,
+    seed: u64,
+    /// Cheap and heavy: asked, in time, late.
+    asked: [f64; 2],
+    in_time: [f64; 2],
+    late: [f64; 2],
+}
+
+impl Day {
+    /// A number from 0 to 1, the same for the same seed and place in the order of asking.
+    fn chance(&mut self) -> f64 {
+        self.draws += 1;
+        let mut x =
+            self.seed.wrapping_mul(0x9e37_79b9_7f4a_7c15) ^ self.draws.wrapping_mul(0xd134_2543_de82_ef95);
+        x = (x ^ (x >> 32)).wrapping_mul(0xd6e8_feb8_6659_fd93);
+        x = (x ^ (x >> 32)).wrapping_mul(0xd6e8_feb8_6659_fd93);
+        ((x ^ (x >> 32)) >> 11) as f64 / (1_u64 << 53) as f64
+    }
+
+    fn play(seed: u64, load: f64, knows: bool) -> Day {
+        let terms = terms(seed);
+        let usual = terms.workloads.iter().map(Router::typical).collect();
+        let book = Book::new(0.0, Key::from_seed(seed), 1 << 20, usual);
+        let mut day = Day {
+            facade: Facade::start(0.0, terms),
+            book,
+            knows,
+            now: 0.0,
+            events: BinaryHeap::new(),
+            free_at: [[0.0; CORES]; HOSTS],
+            held: Vec::new(),
+            draws: 0,
+            seed,
+            asked: [0.0; 2],
+            in_time: [0.0; 2],
+            late: [0.0; 2],
+        };
+        let list: Vec<Listed> = (0..HOSTS)
+            .map(|host| Listed { host, size: 1.0, order: host as u64, ..Listed::default() })
+            .collect();
+        day.facade.report(0.0, News::List(&list));
+        day.events.push(Reverse((micros(0.1), Event::Arrives)));
+        // One in fifty is heavy: two thirds of the work.
+        let rate = load * (HOSTS * CORES) as f64 / (0.98 * CHEAP + 0.02 * HEAVY);
+        while day.now < SECONDS {
+            let next = day.events.peek().map_or(f64::INFINITY, |event| event.0.0 as f64 / 1e6);
+            let tick = day.facade.wake_at();
+            day.now = day.now.max(next.min(tick));
+            if next <= tick {
+                let Some(Reverse((_, event))) = day.events.pop() else { break };
+                match event {
+                    Event::Arrives => {
+                        let gap = -day.chance().max(1e-12).ln() / rate;
+                        day.events.push(Reverse((micros(day.now + gap), Event::Arrives)));
+                        day.arrive();
+                    }
+                    Event::Ended { stmt, host, completed, sent } => day.end(stmt, host, completed, sent),
+                }
+            }
+            day.carry_out();
+        }
+        day
+    }
+
+    fn arrive(&mut self) {
+        let heavy = self.chance() < 0.02;
+        let bell: f64 = (0..3).map(|_| self.chance() - 0.5).sum();
+        let work = if heavy { HEAVY } else { CHEAP } * (bell * 0.5).exp();
+        let text: &[u8] = if heavy {
+            b"SELECT sum(kg) FROM picked GROUP BY day"
+        } else {
+            b"SELECT kg FROM picked WHERE id = 7"
+        };
+        let shape = self.book.scan(text).shape;
+        let word = self.book.read(self.now, 0, text, shape);
+        let known = word.estimate.filter(|_| self.knows);
+        let stmt = Statement {
+            workload: 0,
+            group: 0,
+            tenant: None,
+            session: None,
+            time_left: TIMEOUT,
+            since_write: None,
+            repeat: false,
+            writes: false,
+            work: known.map(|e| Work { own: e.work, usual: e.usual, spread: e.spread }),
+        };
+        self.asked[usize::from(heavy)] += 1.0;
+        let (index, choice) = self.facade.pick(self.now, Ask::New(stmt));
+        let held = (self.now, work, word.place);
+        self.held.resize(self.held.len().max(index + 1), held);
+        self.held[index] = held;
+        self.act(index, choice);
+    }
+
+    fn act(&mut self, stmt: usize, choice: Choice) {
+        let Choice::Execute { host, time_out } = choice else { return };
+        let (arrived, work, _) = self.held[stmt];
+        let cores = &mut self.free_at[host];
+        let core = (0..CORES).min_by(|a, b| cores[*a].total_cmp(&cores[*b])).unwrap_or(0);
+        let ended = self.now.max(cores[core]) + work;
+        // A host goes on with what nobody waits for any more.
+        cores[core] = ended;
+        let patience = arrived + TIMEOUT;
+        let until = if time_out > 0.0 { patience.min(self.now + time_out) } else { patience };
+        let event = Event::Ended { stmt, host, completed: ended <= until, sent: micros(self.now) };
+        self.events.push(Reverse((micros(ended.min(until)), event)));
+    }
+
+    fn end(&mut self, stmt: usize, host: usize, completed: bool, sent: u64) {
+        let (arrived, work, place) = self.held[stmt];
+        let took = self.now - sent as f64 / 1e6;
+        let ending = if completed { Ending::Completed } else { Ending::TimedOut };
+        if completed {
+            let (heavy, in_time) = (usize::from(work > 10.0 * CHEAP), self.now - arrived <= SLO);
+            *if in_time { &mut self.in_time[heavy] } else { &mut self.late[heavy] } += 1.0;
+            if let Some(place) = place {
+                self.book.learn(self.now, place, host, took, true);
+            }
+        }
+        let note = self.note(host);
+        self.facade.report(self.now, News::Execution { stmt, host, ending, took, note, report: Some(note) });
+    }
+
+    fn note(&self, host: usize) -> Report {
+        let role = if host == 0 { Role::Primary } else { Role::Replica };
+        Report { role: Some(role), lsn: Some(self.now) }
+    }
+
+    fn carry_out(&mut self) {
+        loop {
+            let due = self.facade.tick(self.now);
+            if due.is_empty() {
+                return;
+            }
+            for due in due {
+                match due {
+                    Due::Pick(stmt) => {
+                        let (stmt, choice) = self.facade.pick(self.now, Ask::Again(stmt));
+                        self.act(stmt, choice);
+                    }
+                    // Its end comes by itself.
+                    Due::Recall(_) => {}
+                    Due::Probe(host) => {
+                        let report = self.note(host);
+                        self.facade.report(self.now, News::Probe { host, ending: Ending::Completed, report });
+                    }
+                }
+            }
+        }
+    }
+
+    /// The share of what could be earned, all being worth the same.
+    fn earned(&self) -> f64 {
+        let sum = |counts: [f64; 2]| counts[0] + counts[1];
+        (sum(self.in_time) + 0.3 * sum(self.late)) / sum(self.asked)
+    }
+}
+
+#[test]
+fn knowing_shapes_serves_more_of_a_mix() {
+    println!("load  earned without, with   difference  (standard error)   cheap in time      heavy in time");
+    for (load, least) in [(0.5, -0.01), (0.9, 0.0), (1.2, 0.0), (1.6, 0.0)] {
+        let pairs: Vec<(Day, Day)> =
+            (1..=8).map(|seed| (Day::play(seed, load, false), Day::play(seed, load, true))).collect();
+        let n = pairs.len() as f64;
+        let mean = |value: &dyn Fn(&(Day, Day)) -> f64| pairs.iter().map(value).sum::<f64>() / n;
+        let gain = mean(&|pair| pair.1.earned() - pair.0.earned());
+        let variance = mean(&|pair| (pair.1.earned() - pair.0.earned() - gain).powi(2));
+        let error = (variance / (n - 1.0)).sqrt();
+        let share = |of: usize| {
+            (
+                mean(&|pair| pair.0.in_time[of] / pair.0.asked[of]),
+                mean(&|pair| pair.1.in_time[of] / pair.1.asked[of]),
+            )
+        };
+        println!(
+            "{load:4}  {:14.3} {:5.3}   {gain:+10.3}  ({error:.3})            {:.3?}   {:.3?}",
+            mean(&|pair| pair.0.earned()),
+            mean(&|pair| pair.1.earned()),
+            share(0),
+            share(1)
+        );
+        assert!(gain + 2.0 * error > least, "at load {load}: {gain} within {error}");
+    }
+}
