EXPLAIN (ANALYSE) runs what it explains: only options that show are let through

Found by reading the grammar again: the server takes ANALYSE for ANALYZE, and a DELETE under it was called a read.

--- a/crates/statement/src/names.rs
+++ b/crates/statement/src/names.rs
@@ -592,6 +592,20 @@
     "with",
 ];
 
+/// Options of `EXPLAIN` with which nothing runs.
+pub static SHOWS: &[&str] = &[
+    "buffers",
+    "costs",
+    "format",
+    "generic_plan",
+    "memory",
+    "settings",
+    "summary",
+    "timing",
+    "verbose",
+    "wal",
+];
+
 /// Words behind which a literal is a value, and no cast to a type of that name.
 pub static BEFORE_TEXT: &[&str] = &[
     "all",
@@ -663,6 +677,7 @@
     #[case(TYPES)]
     #[case(OPERATORS)]
     #[case(CONSTRUCTS)]
+    #[case(SHOWS)]
     #[case(NO_CALLS)]
     #[case(BEFORE_TEXT)]
     #[case(BEFORE_COLUMN)]
--- a/crates/statement/src/reading.rs
+++ b/crates/statement/src/reading.rs
@@ -224,9 +224,10 @@
     let mut found = Found::default();
     let (inner, runs) = match statement {
         Statement::Explain { statement, analyze, options, .. } => {
+            // Any option but those that only say what is shown: `ANALYSE` is another name for `ANALYZE`, and
             // `ANALYZE FALSE` is rare enough to be taken for what it looks like.
             let asked =
-                options.iter().flatten().any(|option| option.name.value.eq_ignore_ascii_case("analyze"));
+                options.iter().flatten().any(|o| !names::is_in(names::SHOWS, o.name.value.as_bytes()));
             (statement.as_ref(), *analyze || asked)
         }
         other => (other, true),
