--- a/crates/ottersill/src/memory/alarms.rs
+++ b/crates/ottersill/src/memory/alarms.rs
@@ -1,5 +1,5 @@
-//! What falls due by time. Holds at most one alarm for each line and client, one each for discovery and listener; each is taken out when
-//! it is due, moved or its owner ends.
+//! What falls due by time. Holds at most one alarm for each line and client, one each for discovery and listener; each
+//! is taken out when it is due, moved or its owner ends.
 
 use std::collections::BTreeSet;
 
@@ -12,7 +12,7 @@
     Listener,
 }
 
-/// A set alarm, to be kept by its owner until it is cleared.
+/// A set alarm, to be kept by its owner until it is cleared; by the bits of its time.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub struct Set(u64, Alarm);
 
@@ -21,14 +21,16 @@
     by_time: BTreeSet<Set>,
 }
 
-/// Microseconds order alike and totally, as floating seconds do not; rounded up, so that none is early.
-fn micros(at: f64) -> u64 {
-    (at * 1e6).ceil() as u64
+/// The bits of seconds that are not negative order as the seconds do, and totally. Nothing is rounded: an alarm that came
+/// due a fraction of a microsecond before its owner's time would be set anew by the owner, come due again in the same
+/// turn, and so on for ever, as a turn has one time.
+fn bits(at: f64) -> u64 {
+    at.max(0.0).to_bits()
 }
 
 impl Alarms {
     pub fn set(&mut self, at: f64, alarm: Alarm) -> Set {
-        let set = Set(micros(at), alarm);
+        let set = Set(bits(at), alarm);
         self.by_time.insert(set);
         set
     }
@@ -40,12 +42,12 @@
     }
 
     pub fn next_at(&self) -> Option<f64> {
-        self.by_time.first().map(|set| set.0 as f64 / 1e6)
+        self.by_time.first().map(|set| f64::from_bits(set.0))
     }
 
     pub fn due(&mut self, now: f64) -> Option<Alarm> {
         let first = *self.by_time.first()?;
-        if first.0 > micros(now) {
+        if first.0 > bits(now) {
             return None;
         }
         self.by_time.remove(&first);
