--- a/crates/core/src/decide.rs
+++ b/crates/core/src/decide.rs
@@ -46,8 +46,7 @@
 const VAGUE: f64 = 0.7;
 /// A read is long if it takes this many times what the shortest workload takes.
 const LONG: f64 = 4.0;
-/// Change a beat of the part of writes held back, and seconds over which it is weighed against reads.
-const FLOW: f64 = 0.02;
+/// Seconds over which what is asked for is weighed, and after which a member's word on its load fades.
 const WORTH: f64 = 5.0;
 /// Weight of the newest answer in what is learnt of a member; a fifth of it in what is learnt of a workload.
 const LEARN: f64 = 0.1;
@@ -73,6 +72,9 @@
     called_at: f64,
     /// When this router last came back from a stall of its own.
     awake_since: f64,
+    /// The part of reads let through to groups heard of rarely; mean part of the SLO time that answers take.
+    open: f64,
+    pace: f64,
     bound: Option<f64>,
     list_is_due: bool,
     draws: u64,
@@ -87,6 +89,16 @@
         (since / (since + TRIAL)).clamp(LEARN, 0.5)
     }
 
+    /// The part of it that is free, as far as its word on that is new.
+    fn spare(&self, now: f64) -> f64 {
+        (1.0 - self.busy * (-(now - self.busy_at) / WORTH).exp()).max(0.05)
+    }
+
+    /// Its word on its load is old. One that never gave any is not waited for.
+    fn owes_word(&self, now: f64) -> bool {
+        self.busy_at > 0.0 && now - self.busy_at > POLL
+    }
+
     /// Whether one more execution is within a part of the limit. Guards against hundreds of routers that each
     /// have one out: the fraction of a limit goes by lot. A bad word fades, or nothing better would be heard.
     fn holds(&self, now: f64, part: f64, odds: f64) -> bool {
@@ -105,8 +117,9 @@
 impl Router {
     pub fn start(now: f64, terms: Terms, front: &mut impl Front) -> Router {
         let usual = (0.0, 0);
-        let row = |w: Workload| Row { typical: Router::typical(&w), terms: w, usual, may_return: 0.0 };
-        // Behind the workloads their twins, whose terms hold for a text that may write, whatever it is called.
+        let row =
+            |w: Workload| Row { typical: Router::typical(&w), terms: w, usual, may_return: 0.0, work: 0.0 };
+        // Behind the workloads their twins, whose terms hold for a text that may write, whatever its name.
         let (needs, effect) = (Needs::Primary, Effect::NonIdempotent);
         let twins = terms.workloads.iter().map(|w| Workload { needs, effect, ..w.clone() });
         let router = Router {
@@ -120,6 +133,8 @@
             probes: 0.0,
             called_at: now,
             awake_since: now,
+            open: 1.0,
+            pace: 0.0,
             bound: terms.workloads.iter().filter_map(|w| w.bound()).reduce(f64::min),
             list_is_due: terms.list_on_request,
             draws: 0,
@@ -185,12 +200,14 @@
         self.second_tries = (self.second_tries + SECOND_TRIES).min(20.0);
         self.probes = (self.probes + PROBES).min(20.0);
         self.pass(index, State::Waiting);
-        let needs = self.terms_of(&held).needs;
+        let terms = self.terms_of(&held);
+        let (long, writes) = (self.is_long(terms, typical), terms.needs == Needs::Primary);
         let group = &mut self.groups[stmt.group];
-        group.reads += if let Needs::Bounded(_) = needs { worth } else { 0.0 };
-        group.writes += if needs == Needs::Primary { worth } else { 0.0 };
-        let held_back = group.held_back;
-        if needs == Needs::Primary && self.odds(self.draws, index) < held_back {
+        group.asked += 1.0;
+        let often = writes || now - group.answered_at < TRIAL / 5.0;
+        // What takes the most work for its worth goes first.
+        let open = self.open.min(group.open).powi(if long { 2 } else { 1 });
+        if !often && self.odds(self.draws, index) > open {
             return self.give_up(now, index, front);
         }
         self.place(now, index, front);
@@ -321,11 +338,14 @@
             front.follow();
         }
         self.wake_up(now);
-        self.rows.iter_mut().for_each(|row| row.may_return -= row.may_return * BEAT / WORTH);
+        for row in &mut self.rows {
+            row.may_return -= row.may_return * BEAT / WORTH;
+            row.work -= row.work * BEAT / (4.0 * FORGET);
+        }
         self.notice_silence(now, front);
-        self.set_flow(now);
         self.turn = (self.turn + 1) % self.groups.len().max(1);
         for group in 0..self.groups.len() {
+            self.groups[group].asked -= self.groups[group].asked * BEAT / WORTH;
             if group == self.turn || !self.groups[group].waiting.is_empty() {
                 self.place_waiting(now, group, front);
                 self.poll(now, group, front);
@@ -336,24 +356,6 @@
         front.wake(BEAT);
     }
 
-    /// Guards against replicas that fall behind for good: writes are let through as replicas can apply them,
-    /// as long as the reads that the stale ones could answer are worth more than the writes held back.
-    fn set_flow(&mut self, now: f64) {
-        let Some(bound) = self.bound else { return };
-        for group in 0..self.groups.len() {
-            let at = &self.groups[group];
-            let replicas = at.members.iter().filter(|h| Some(**h) != at.pointer && self.usable(now, **h));
-            let lags: Vec<f64> = replicas.map(|h| self.members[*h].lag).collect();
-            let part =
-                lags.iter().filter(|lag| **lag > bound / 2.0).count() as f64 / lags.len().max(1) as f64;
-            let at = &mut self.groups[group];
-            let hold = part * at.reads > at.writes && part * at.reads_lost > at.writes * at.held_back;
-            at.held_back = (at.held_back + if hold { FLOW } else { -FLOW / 2.0 }).clamp(0.0, 0.95);
-            let fade = |worth: &mut f64| *worth -= *worth * BEAT / WORTH;
-            [&mut at.reads_lost, &mut at.reads, &mut at.writes].into_iter().for_each(fade);
-        }
-    }
-
     /// Guards against stalls of this router itself: what was not heard meanwhile tells nothing of members.
     fn wake_up(&mut self, now: f64) {
         self.awake_since = if now - self.called_at > 5.0 * BEAT { now } else { self.awake_since };
@@ -389,8 +391,6 @@
         self.pass(index, State::Vacant);
         let row = &mut self.rows[held.stmt.workload];
         row.may_return += if held.worth > 0.0 { 1.0 } else { 0.5 };
-        let bounded = self.terms_of(&held).bound().is_some();
-        self.groups[held.stmt.group].reads_lost += if bounded { held.worth } else { 0.0 };
         if harmless {
             // A client that comes back after its SLO time only adds load; until then the sooner the better.
             let late = now >= held.arrived + self.terms_of(&held).slo_time;
@@ -434,16 +434,26 @@
             });
         // A primary under suspicion is tried with a read: a write that it swallowed could not be tried again.
         let mut trial = pointer.filter(|host| self.members[*host].suspicion.is_some());
-        let known = &self.rows[..self.terms.workloads.len()];
-        let shortest = known.iter().map(|row| row.typical).fold(f64::INFINITY, f64::min);
-        let long = self.rows[held.stmt.workload].takes(held.more) > LONG * shortest;
-        if long && self.terms_of(held).needs == Needs::Any {
-            // Guards against long reads that stop the log: spread evenly, a few hold every replica back. All
-            // routers rank the members alike, so that hundreds meet on the same one without a word.
-            let bound = self.bound.unwrap_or(f64::INFINITY);
-            fresh.sort_by_key(|host| (self.members[*host].lag <= bound, self.members[*host].listed.order));
-            fresh.truncate(fresh.len().div_ceil(2));
+        let kept = self.kept(now, group);
+        if self.is_long(self.terms_of(held), self.rows[held.stmt.workload].takes(held.more)) {
+            // Guards against long reads that stop the log: spread evenly, a few hold every replica back.
+            fresh.sort_by_key(|host| self.members[*host].listed.order);
+            let owed = kept.iter().any(|host| self.members[*host].owes_word(now));
+            if owed && self.terms.may_probe && now - held.arrived < READ_WAIT {
+                return None;
+            }
+            trial = trial.or_else(|| self.fewest(now, &fresh[..kept.len()], held));
+            fresh.truncate(fresh.len().div_ceil(2).max(kept.len()));
             trial = trial.or_else(|| fresh.iter().copied().find(|host| self.room(now, *host, held)));
+        } else if bounded {
+            // Where the long reads are, the log stands still, unless one has told otherwise just now.
+            let apart = |host: &usize| !kept.contains(host) || now - self.members[*host].told_at < POLL;
+            if fresh.iter().any(apart) {
+                fresh.retain(apart);
+            }
+            if now - group.answered_at >= TRIAL / 5.0 {
+                trial = trial.or_else(|| self.spare(now, group, fresh.len(), held));
+            }
         }
         // A cold member whose lot has come is taken, as its share is counted by lots alone.
         let cold =
@@ -466,6 +476,41 @@
         })
     }
 
+    /// The part of all work of late that such workloads are.
+    fn part_of(&self, of: impl Fn(&&Row) -> bool) -> f64 {
+        let all: f64 = self.rows.iter().map(|row| row.work).sum();
+        self.rows.iter().filter(of).map(|row| row.work).sum::<f64>() / all.max(1e-9)
+    }
+
+    fn is_long(&self, terms: &Workload, takes: f64) -> bool {
+        let shortest = self.rows.iter().map(|row| row.typical).fold(f64::INFINITY, f64::min);
+        terms.needs == Needs::Any && takes > LONG * shortest
+    }
+
+    /// The replicas that long reads are kept together on: as many as their part of all work fills, in an
+    /// order that is the same at all routers, so that hundreds meet on the same ones without a word.
+    fn kept(&self, now: f64, group: &Group) -> Vec<usize> {
+        let part = self.part_of(|row| self.is_long(&row.terms, row.typical));
+        let replicas = group.members.iter().filter(|h| Some(**h) != group.pointer && self.usable(now, **h));
+        let mut kept: Vec<usize> = replicas.copied().collect();
+        kept.sort_by_key(|host| self.members[*host].listed.order);
+        let few = (part * group.members.len() as f64).round().max(f64::from(part > 0.0)) as usize;
+        // One more where none of these has anything to spare.
+        let full = kept.iter().take(few).all(|host| self.members[*host].spare(now) < COLD / 8.0);
+        kept.truncate(few + usize::from(full && few > 0));
+        kept
+    }
+
+    /// The primary, for as much of the reads as leaves it no more work than each of few fresh replicas has.
+    fn spare(&self, now: f64, group: &Group, fresh: usize, held: &Held) -> Option<usize> {
+        let writes = self.part_of(|row| row.terms.needs == Needs::Primary);
+        let reads = self.part_of(|row| !matches!(row.terms.needs, Needs::Primary | Needs::Any));
+        let m = &self.members[group.pointer?];
+        let part = ((writes + reads) / (fresh + 1) as f64 - writes) / reads.max(1e-9) * m.spare(now);
+        let taken = self.odds(held.lot, usize::MAX) < part && self.part(now, m) >= 1.0;
+        group.pointer.filter(|host| taken && self.room(now, *host, held))
+    }
+
     /// Of those with fewest executions in flight one is drawn by lot, weighted by size and by how quickly it
     /// answers: where routers are many nearly all have none in flight, and the lot alone spreads the load.
     fn fewest(&self, now: f64, among: &[usize], held: &Held) -> Option<usize> {
@@ -474,7 +519,7 @@
         let lot = |host: &usize| {
             let m = &self.members[*host];
             let near = if m.listed.site == self.terms.site { 1.5 } else { 1.0 };
-            let weight = m.listed.size * near / m.load.max(0.1).powi(2);
+            let weight = m.listed.size * near * m.spare(now) / m.load.max(0.1).powi(2);
             -(self.odds(self.draws, *host)).ln() / weight
         };
         let tied = open.into_iter().filter(|host| self.members[*host].in_flight == least);
@@ -506,7 +551,9 @@
     /// one that fell behind since turns a read away, which costs less than asking it each time.
     fn stands(&self, now: f64, host: usize) -> f64 {
         let m = &self.members[host];
-        if self.terms.members_check_reads { now - m.lag } else { m.lsn }
+        // Nobody asks it often where routers are many: one that fell behind is taken to catch up meanwhile.
+        let carried = now - (m.lag - (now - m.told_at)).max(m.lag.min(READ_WAIT));
+        if self.terms.members_check_reads { carried } else { m.lsn }
     }
 
     fn barred(&self, host: usize) -> bool {
@@ -529,10 +576,12 @@
             || m.lsn >= self.needed(now, held);
         let rules = data && self.effect_allows(now, host, held) && self.cold_allows(now, host, held);
         let health = m.suspicion.is_none() || m.in_flight == 0 && row.terms.effect == Effect::Idempotent;
-        let group = &self.groups[held.stmt.group];
-        let often = row.terms.effect != Effect::Idempotent || now - group.answered_at < TRIAL / 5.0;
-        let open = often || self.odds(held.lot, usize::MAX) < group.open;
-        open && rules && self.usable(now, host) && health && m.holds(now, 1.0, self.odds(held.lot, host))
+        // Full since this one came: no more of its time is lost there. The other lot is not the limit's.
+        let full = m.full_at >= held.arrived;
+        let strained = self.is_long(&row.terms, row.takes(held.more))
+            && self.odds(held.lot + 1, host) > 5.0 * m.spare(now);
+        let willing = health && !full && !strained;
+        rules && willing && self.usable(now, host) && m.holds(now, 1.0, self.odds(held.lot, host))
     }
 
     fn effect_allows(&self, now: f64, host: usize, held: &Held) -> bool {
@@ -565,9 +614,8 @@
             _ => size(&host) / there.max(all / 2.0),
         };
         // A group that is asked for more than others would have more fall to each of its members.
-        let asked = |group: &Group| group.reads + group.writes;
-        let mean = self.groups.iter().map(asked).sum::<f64>() / self.groups.len() as f64;
-        let hot = (asked(group) / mean).max(1.0);
+        let mean = self.groups.iter().map(|group| group.asked).sum::<f64>() / self.groups.len() as f64;
+        let hot = (group.asked / mean).max(1.0);
         self.odds(held.lot, host) < COLD * self.terms.fall_multiple / 2.0 * part * share / hot
     }
 
@@ -595,10 +643,11 @@
     fn hear(&mut self, now: f64, host: usize, said: Report, answer: bool) {
         let barred = self.barred(host);
         let m = &mut self.members[host];
+        (m.busy, m.busy_at) = said.busy.map_or((m.busy, m.busy_at), |busy| (busy.clamp(0.0, 1.0), now));
         let lsn = said.lsn.filter(|lsn| *lsn <= now);
         if let Some(lsn) = lsn {
             m.lsn = m.lsn.max(lsn);
-            m.lag = now - m.lsn;
+            (m.lag, m.told_at) = (now - m.lsn, now);
             m.turns_away &= answer;
         }
         let Some(role) = said.role else { return };
@@ -642,16 +691,23 @@
         let weight = m.weight(now);
         let group = &mut self.groups[m.listed.group];
         let since = (now - group.answered_at).min(TRIAL);
+        let stalled = held.sent < self.awake_since;
         // A statement that is long itself tells of no crowd; one that is short could hide it.
         let took = (outcome.took - held.more).max(0.0);
-        // Guards against crowds that no router sees by itself; a lost answer tells of none.
-        if matches!(outcome.ending, Ending::Completed | Ending::Full) {
-            let late = outcome.ending == Ending::Full || outcome.took.min(took) > row.terms.slo_time;
+        // Guards against crowds no router sees by itself. A time-out tells of one if answers take long too.
+        let late = outcome.ending == Ending::Full || outcome.took.min(took) > row.terms.slo_time;
+        if outcome.ending == Ending::Completed {
+            self.pace += LEARN * ((took / row.terms.slo_time).min(1.0) - self.pace);
+        }
+        let tells = matches!(outcome.ending, Ending::Completed | Ending::Full)
+            || outcome.ending == Ending::TimedOut && self.pace > EASY;
+        if tells && !stalled {
             let step = if late { -group.open / 2.0 } else { REOPEN };
             group.open = (group.open + since * step).clamp(REOPEN / 2.0, 1.0);
+            let step = if late { -LEARN * self.open } else { REOPEN / 3.0 };
+            self.open = (self.open + step).clamp(REOPEN / 2.0, 1.0);
         }
         group.answered_at = now;
-        let stalled = held.sent < self.awake_since;
         // A second try that paid is not counted.
         self.second_tries += f64::from(outcome.ending == Ending::Completed && held.ran.is_some());
         let share = if stalled { m.load } else { took / row.terms.slo_time };
@@ -666,6 +722,7 @@
             (m.answered_at, m.missed) = (now, 0.0);
         }
         m.missed += f64::from(gave_up);
+        row.work += took;
         match outcome.ending {
             Ending::Completed => {
                 row.typical += if stalled { 0.0 } else { LEARN / 5.0 * (took - row.typical) };
@@ -684,7 +741,11 @@
             // Failing fast must not look like being idle.
             Ending::Error | Ending::Full | Ending::TimedOut | Ending::Cancelled => {
                 m.load += lost * (share.max(1.0) - m.load);
-                m.limit = (m.limit * (1.0 - lost)).max(least);
+                // Full with no more than this of ours: a limit beyond that means nothing.
+                let full = outcome.ending == Ending::Full;
+                m.full_at = if full { now } else { m.full_at };
+                let most = if full { m.limit.min(m.in_flight as f64) } else { m.limit };
+                m.limit = (most * (1.0 - lost)).max(least);
             }
             // Under a cap on connections some fail at a member that answers others.
             Ending::ConnectFailed | Ending::Reset if now - m.answered_at > TRIAL / 2.0 => {
@@ -742,13 +803,17 @@
         let (pointer, waits) = (at.pointer, !at.waiting.is_empty());
         let mut members: Vec<usize> = at.members.iter().copied().filter(|h| !self.barred(*h)).collect();
         members.sort_by(|a, b| self.members[*a].probed_at.total_cmp(&self.members[*b].probed_at));
+        let long = |index: &usize| self.terms_of(&self.held[*index]).needs == Needs::Any;
+        let kept = if at.waiting.iter().any(long) { self.kept(now, at) } else { Vec::new() };
         let polling = pointer.is_none()
             || members.iter().map(|h| &self.members[*h]).any(|m| m.role.is_none() || !m.reports);
         let bound = self.bound.filter(|_| !self.terms.members_check_reads).unwrap_or(f64::INFINITY);
         for host in members {
             let m = &mut self.members[host];
             let ages = pointer != Some(host) && now - m.lsn > bound - 2.0 * POLL_SOON;
-            let decides = pointer.is_none() || m.role.is_none() || m.suspicion.is_some() || m.turns_away;
+            let asked = kept.contains(&host) && m.owes_word(now);
+            let decides =
+                asked || pointer.is_none() || m.role.is_none() || m.suspicion.is_some() || m.turns_away;
             let period = if decides || ages { POLL_SOON } else { POLL };
             let due = now - m.probed_at >= period || waits && m.role.is_none();
             let paid = waits && decides || self.probes >= 1.0;
--- a/crates/core/src/interface.rs
+++ b/crates/core/src/interface.rs
@@ -166,6 +166,8 @@
 pub struct Report {
     pub role: Option<Role>,
     pub lsn: Option<f64>,
+    /// The part of its cores that is busy, by all that it does.
+    pub busy: Option<f64>,
 }
 
 /// The end of one execution.
--- a/crates/core/src/state.rs
+++ b/crates/core/src/state.rs
@@ -66,6 +66,11 @@
     pub lsn: f64,
     /// How far that position lay back when it was heard of.
     pub lag: f64,
+    /// The part of it that was busy, and when it told that.
+    pub busy: f64,
+    pub busy_at: f64,
+    /// When it told its position last.
+    pub told_at: f64,
     /// It turned a read away, and has not told its position since.
     pub turns_away: bool,
     pub reports: bool,
@@ -73,6 +78,8 @@
     pub probed_at: f64,
     /// When an execution last came back from it; probes are answered beside the queue and prove less.
     pub answered_at: f64,
+    /// When it last said that it is full.
+    pub full_at: f64,
     /// Executions that ended without an answer since.
     pub missed: f64,
     pub in_flight: usize,
@@ -89,14 +96,11 @@
     /// Who was last believed to be primary, by word of when.
     pub claimant: Option<usize>,
     pub claim: f64,
-    pub held_back: f64,
     /// The part of reads let through, by how many come late, and when an answer last came.
     pub open: f64,
     pub answered_at: f64,
-    /// Importance, of late, of the bounded reads given up, of all of them, and of the writes.
-    pub reads_lost: f64,
-    pub reads: f64,
-    pub writes: f64,
+    /// Statements of late.
+    pub asked: f64,
     /// Highest rank first, then newest, as the oldest would come late; sends, rejections, hangups empty it.
     pub waiting: Vec<usize>,
 }
@@ -109,4 +113,6 @@
     /// The time most clients give a first try, and by how many votes it leads.
     pub usual: (f64, i32),
     pub may_return: f64,
+    /// Seconds that its executions took of late.
+    pub work: f64,
 }
--- a/crates/core/tests/common/mod.rs
+++ b/crates/core/tests/common/mod.rs
@@ -131,7 +131,7 @@
     }
 
     pub fn report(&mut self, host: usize, role: Role, lag: f64) {
-        let report = Report { role: Some(role), lsn: Some(self.now - lag) };
+        let report = Report { role: Some(role), lsn: Some(self.now - lag), busy: None };
         self.router.probed(self.now, host, Ending::Completed, report, &mut self.book);
     }
 
@@ -156,7 +156,7 @@
     }
 
     pub fn end(&mut self, stmt: usize, host: usize, ending: Ending, role: Option<Role>) {
-        let note = Report { role, lsn: None };
+        let note = Report { role, lsn: None, busy: None };
         let closed = ending == Ending::Completed;
         let outcome = Outcome { stmt, host, ending, took: 0.05, closed, note, report: None };
         self.router.outcome(self.now, &outcome, &mut self.book);
--- a/crates/core/tests/facade.rs
+++ b/crates/core/tests/facade.rs
@@ -17,7 +17,7 @@
 }
 
 fn tell(facade: &mut Facade, now: f64, host: usize, role: Role) {
-    let report = Report { role: Some(role), lsn: Some(now) };
+    let report = Report { role: Some(role), lsn: Some(now), busy: None };
     facade.report(now, News::Probe { host, ending: Ending::Completed, report });
 }
 
--- a/crates/drill/src/desk.rs
+++ b/crates/drill/src/desk.rs
@@ -133,6 +133,7 @@
                 _ => None,
             },
             lsn: (position > 0).then(|| desk.names.zero + position as f64 / 1000.0),
+            busy: None,
         };
         let report = resolved.pressure.map(|p| desk.report(&p));
         let took = resolved.cost_time_ms / 1000.0;
@@ -215,6 +216,7 @@
         Report {
             role: pressure.x1.map(|x1| if x1 > 0.5 { Role::Primary } else { Role::Replica }),
             lsn: pressure.x0.map(|x0| self.names.zero + x0),
+            busy: pressure.utilization,
         }
     }
 
--- a/crates/drill/src/wire.rs
+++ b/crates/drill/src/wire.rs
@@ -89,6 +89,8 @@
     pub x0: Option<f64>,
     #[serde(default)]
     pub x1: Option<f64>,
+    #[serde(default)]
+    pub utilization: Option<f64>,
 }
 
 #[derive(Deserialize)]
--- a/crates/ottersill/src/wire/reply.rs
+++ b/crates/ottersill/src/wire/reply.rs
@@ -38,7 +38,9 @@
     for (name, value) in text.split(',').filter_map(|pair| pair.trim().split_once('=')) {
         let Some(value) = value.parse::<f64>().ok().filter(|value| value.is_finite()) else { continue };
         match name {
-            "x0" => report.lsn = Some(value),
+            // None is known where a host has just started.
+            "x0" => report.lsn = (value > 0.0).then_some(value),
+            "utilization" => report.busy = Some(value),
             "x1" => report.role = Some(if value > 0.5 { Role::Primary } else { Role::Replica }),
             _ => {}
         }
--- a/crates/ottersill/tests/mix.rs
+++ b/crates/ottersill/tests/mix.rs
@@ -198,7 +198,7 @@
 
     fn note(&self, host: usize) -> Report {
         let role = if host == 0 { Role::Primary } else { Role::Replica };
-        Report { role: Some(role), lsn: Some(self.now) }
+        Report { role: Some(role), lsn: Some(self.now), busy: None }
     }
 
     fn carry_out(&mut self) {
