--- a/crates/core/src/decide.rs
+++ b/crates/core/src/decide.rs
@@ -94,7 +94,6 @@
         (1.0 - self.busy * (-(now - self.busy_at) / WORTH).exp()).max(0.05)
     }
 
-    /// Its word on its load is old. One that never gave any is not waited for.
     fn owes_word(&self, now: f64) -> bool {
         self.busy_at > 0.0 && now - self.busy_at > POLL
     }
@@ -472,11 +471,14 @@
         let waited = !fresh.is_empty() || self.terms.members_check_reads || now - held.arrived >= READ_WAIT;
         to_primary(self).filter(|host| {
             let m = &self.members[*host];
+            // Where the group is heard of rarely, the primary's own word tells what all send there.
+            let rare = now - group.answered_at >= TRIAL / 5.0;
+            let waited = waited && !(rare && self.odds(held.lot + 2, *host) > m.spare(now));
             waited && m.holds(now, READS_ON_PRIMARY, self.odds(held.lot, *host)) && self.part(now, m) >= 1.0
         })
     }
 
-    /// The part of all work of late that such workloads are.
+    /// The part of all work of late that these workloads are.
     fn part_of(&self, of: impl Fn(&&Row) -> bool) -> f64 {
         let all: f64 = self.rows.iter().map(|row| row.work).sum();
         self.rows.iter().filter(of).map(|row| row.work).sum::<f64>() / all.max(1e-9)
@@ -487,14 +489,15 @@
         terms.needs == Needs::Any && takes > LONG * shortest
     }
 
-    /// The replicas that long reads are kept together on: as many as their part of all work fills, in an
-    /// order that is the same at all routers, so that hundreds meet on the same ones without a word.
+    /// The replicas that long reads are kept together on: as many of those that are there as their part of all
+    /// work fills, in an order that is the same at all routers, so that hundreds meet without a word.
     fn kept(&self, now: f64, group: &Group) -> Vec<usize> {
         let part = self.part_of(|row| self.is_long(&row.terms, row.typical));
-        let replicas = group.members.iter().filter(|h| Some(**h) != group.pointer && self.usable(now, **h));
-        let mut kept: Vec<usize> = replicas.copied().collect();
+        let mut kept = group.members.clone();
+        kept.retain(|host| self.usable(now, *host));
+        let few = (part * kept.len() as f64).round().max(f64::from(part > 0.0)) as usize;
+        kept.retain(|host| Some(*host) != group.pointer);
         kept.sort_by_key(|host| self.members[*host].listed.order);
-        let few = (part * group.members.len() as f64).round().max(f64::from(part > 0.0)) as usize;
         // One more where none of these has anything to spare.
         let full = kept.iter().take(few).all(|host| self.members[*host].spare(now) < COLD / 8.0);
         kept.truncate(few + usize::from(full && few > 0));
@@ -606,7 +609,7 @@
         }
         let group = &self.groups[m.listed.group];
         let size = |host: &usize| self.members[*host].listed.size;
-        let all: f64 = group.members.iter().map(size).sum();
+        let all: f64 = group.members.iter().filter(|host| !self.barred(**host)).map(size).sum();
         let there: f64 = group.members.iter().filter(|host| self.usable(now, **host)).map(size).sum();
         let share = match self.terms_of(held).needs {
             // All fall to the primary, but are far from all of its work, and reads keep off it.
@@ -696,9 +699,8 @@
         let took = (outcome.took - held.more).max(0.0);
         // Guards against crowds no router sees by itself. A time-out tells of one if answers take long too.
         let late = outcome.ending == Ending::Full || outcome.took.min(took) > row.terms.slo_time;
-        if outcome.ending == Ending::Completed {
-            self.pace += LEARN * ((took / row.terms.slo_time).min(1.0) - self.pace);
-        }
+        let done = outcome.ending == Ending::Completed;
+        self.pace += f64::from(done) * LEARN * ((took / row.terms.slo_time).min(1.0) - self.pace);
         let tells = matches!(outcome.ending, Ending::Completed | Ending::Full)
             || outcome.ending == Ending::TimedOut && self.pace > EASY;
         if tells && !stalled {
@@ -709,7 +711,7 @@
         }
         group.answered_at = now;
         // A second try that paid is not counted.
-        self.second_tries += f64::from(outcome.ending == Ending::Completed && held.ran.is_some());
+        self.second_tries += f64::from(done && held.ran.is_some());
         let share = if stalled { m.load } else { took / row.terms.slo_time };
         // Guards against members taken for crowded that are slow themselves: few would be no quicker there.
         let few = m.limit.min(FEW / self.terms.routers as f64);
@@ -722,7 +724,7 @@
             (m.answered_at, m.missed) = (now, 0.0);
         }
         m.missed += f64::from(gave_up);
-        row.work += took;
+        row.work += f64::from(!outcome.ending.never_ran()) * if done { took } else { row.typical };
         match outcome.ending {
             Ending::Completed => {
                 row.typical += if stalled { 0.0 } else { LEARN / 5.0 * (took - row.typical) };
@@ -742,10 +744,10 @@
             Ending::Error | Ending::Full | Ending::TimedOut | Ending::Cancelled => {
                 m.load += lost * (share.max(1.0) - m.load);
                 // Full with no more than this of ours: a limit beyond that means nothing.
-                let full = outcome.ending == Ending::Full;
-                m.full_at = if full { now } else { m.full_at };
-                let most = if full { m.limit.min(m.in_flight as f64) } else { m.limit };
-                m.limit = (most * (1.0 - lost)).max(least);
+                if outcome.ending == Ending::Full {
+                    (m.full_at, m.limit) = (now, m.limit.min(m.in_flight as f64));
+                }
+                m.limit = (m.limit * (1.0 - lost)).max(least);
             }
             // Under a cap on connections some fail at a member that answers others.
             Ending::ConnectFailed | Ending::Reset if now - m.answered_at > TRIAL / 2.0 => {
--- /dev/null
+++ b/crates/core/tests/rarely_heard.rs
@@ -0,0 +1,189 @@
+//! One of hundreds of routers: each sees a few statements a second, hears of a group in seconds and of a host in tens of
+//! seconds. What it does for itself is done three hundred times over. All of it was found on the fleet days.
+
+mod common;
+
+use std::collections::BTreeSet;
+
+use common::*;
+use ottersill_core::interface::*;
+use rstest::rstest;
+
+/// One of 300 routers whose group has host 0 as its primary.
+fn rarely_heard(seed: u64, lags: [f64; 3]) -> World {
+    let mut world = World::new(Terms { seed, routers: 300, ..terms(true) });
+    tell(&mut world, lags);
+    world
+}
+
+fn tell(world: &mut World, lags: [f64; 3]) {
+    world.report(0, Role::Primary, 0.0);
+    (1..4).for_each(|host| world.report(host, Role::Replica, lags[host - 1]));
+}
+
+/// Ends all that is out of a statement, at once and for good.
+fn end(world: &mut World, stmt: usize, ending: Ending, took: f64) -> Option<usize> {
+    let host = world.sent_to(stmt).last().copied()?;
+    let (note, report) = (Report::default(), None);
+    let outcome = Outcome { stmt, host, ending, took, closed: true, note, report };
+    world.router.outcome(world.now, &outcome, &mut world.book);
+    Some(host)
+}
+
+fn word(world: &mut World, host: usize, busy: f64) {
+    let report = Report { role: Some(Role::Replica), lsn: Some(world.now), busy: Some(busy) };
+    world.router.probed(world.now, host, Ending::Completed, report, &mut world.book);
+}
+
+/// One statement tried the same full host eight times within 12 ms.
+#[rstest]
+#[case::other_replicas_fresh([0.0; 3], 3)]
+#[case::the_only_fresh_one([0.0, 9.0, 9.0], 1)]
+fn a_host_that_said_full_is_not_asked_again_for_the_same_statement(
+    #[case] lags: [f64; 3],
+    #[case] least: usize,
+) {
+    let mut world = rarely_heard(7, lags);
+    let read = world.ask(READ);
+    for _ in 0..8 {
+        let Some(host) = world.sent_to(read).last().copied() else { break };
+        if world.sent_to(read).len() > world.count(Done::Execute(read, host)) + 3 {
+            break;
+        }
+        world.end(read, host, Ending::Full, None);
+    }
+    let sent = world.sent_to(read);
+    let hosts: BTreeSet<usize> = sent.iter().copied().collect();
+    assert_eq!(hosts.len(), sent.len(), "{sent:?}");
+    assert!(hosts.len() >= least, "{sent:?}");
+}
+
+/// Reports went to all replicas, as each router had room at each; all logs stopped, and bounded reads had nowhere to go.
+/// And on days on which hosts are replaced, those that left counted as if they could take a part.
+#[rstest]
+#[case::a_third_of_the_work(0.5, None, &[2])]
+#[case::half(1.0, None, &[1, 2])]
+#[case::two_thirds(2.0, None, &[1, 2, 3])]
+#[case::four_ninths(0.8, None, &[1, 2])]
+#[case::four_ninths_and_one_has_left(0.8, Some(3), &[2])]
+fn long_reads_are_kept_on_as_many_replicas_as_their_work_fills(
+    #[case] took: f64,
+    #[case] left: Option<usize>,
+    #[case] hosts: &[usize],
+) {
+    let mut found = BTreeSet::new();
+    for seed in 0..20 {
+        let mut world = rarely_heard(seed, [0.0; 3]);
+        left.into_iter().for_each(|host| world.list(host, Standing::Gone, None));
+        for round in 0..30 {
+            let reads: Vec<usize> = (0..20).map(|_| world.ask(READ)).collect();
+            reads.into_iter().for_each(|read| {
+                end(&mut world, read, Ending::Completed, 0.05);
+            });
+            let report = world.ask(REPORT);
+            let host = end(&mut world, report, Ending::Completed, took);
+            // What the work is has to be learnt first.
+            found.extend(host.filter(|_| round >= 10));
+            world.pass(1.0);
+            tell(&mut world, [0.0; 3]);
+        }
+    }
+    assert_eq!(found.into_iter().collect::<Vec<_>>(), hosts);
+}
+
+/// Bounded reads waited at the replicas where the reports are, whose positions nobody had asked for of late.
+#[test]
+fn bounded_reads_keep_off_the_replicas_of_long_ones() {
+    let mut world = rarely_heard(7, [0.0; 3]);
+    for _ in 0..12 {
+        let report = world.ask(REPORT);
+        end(&mut world, report, Ending::Completed, 0.5);
+        let reads: Vec<usize> = (0..20).map(|_| world.ask(READ)).collect();
+        reads.into_iter().for_each(|read| {
+            end(&mut world, read, Ending::Completed, 0.05);
+        });
+    }
+    world.pass(1.5);
+    let kept = world.ask_and_place(REPORT);
+    let reads: Vec<usize> = (0..20).flat_map(|_| world.ask_and_place(READ)).collect();
+    assert!(!reads.is_empty() && reads.iter().all(|host| !kept.contains(host)), "{kept:?} {reads:?}");
+}
+
+/// A host that all others keep busy looks idle to a router that has nothing out there; its own word tells.
+#[rstest]
+#[case::just_told(0.5, 0..5)]
+#[case::told_long_ago(40.0, 10..40)]
+fn a_busy_host_gets_few_reads_while_its_word_is_new(
+    #[case] since: f64,
+    #[case] expected: std::ops::Range<usize>,
+) {
+    let mut world = rarely_heard(7, [0.0; 3]);
+    [(1, 1.0), (2, 0.2), (3, 0.2)].into_iter().for_each(|(host, busy)| word(&mut world, host, busy));
+    world.now += since;
+    let mut busy = 0;
+    for _ in 0..60 {
+        let read = world.ask(READ);
+        busy += usize::from(end(&mut world, read, Ending::Completed, 0.05) == Some(1));
+    }
+    assert!(expected.contains(&busy), "{busy}");
+}
+
+/// The log of a replica that was behind when it last told stands elsewhere by now.
+#[rstest]
+#[case::just_now(0.5, false)]
+#[case::long_ago(12.0, true)]
+fn a_replica_told_to_be_behind_is_tried_again(#[case] since: f64, #[case] tried: bool) {
+    let mut world = rarely_heard(7, [0.0, 9.0, 9.0]);
+    world.now += since;
+    let mut hosts = BTreeSet::new();
+    for _ in 0..30 {
+        let read = world.ask(READ);
+        hosts.extend(end(&mut world, read, Ending::Completed, 0.05));
+    }
+    assert_eq!(hosts.contains(&2) && hosts.contains(&3), tried, "{hosts:?}");
+}
+
+/// Replicas were full while the primary had two thirds to spare.
+#[rstest]
+#[case::few_writes(0.01, 8..30)]
+#[case::as_much_work_in_writes(0.2, 0..1)]
+fn the_primary_takes_what_leaves_it_no_more_than_a_replica_has(
+    #[case] write: f64,
+    #[case] expected: std::ops::Range<usize>,
+) {
+    let mut world = rarely_heard(7, [0.0, 9.0, 9.0]);
+    let mut at_primary = 0;
+    for round in 0..40 {
+        let read = world.ask(READ);
+        let host = end(&mut world, read, Ending::Completed, 0.05);
+        at_primary += usize::from(round >= 10 && host == Some(0));
+        let stmt = world.ask(WRITE);
+        end(&mut world, stmt, Ending::Completed, write);
+        world.pass(0.5);
+        tell(&mut world, [0.0, 9.0, 9.0]);
+    }
+    assert!(expected.contains(&at_primary), "{at_primary}");
+}
+
+/// Nearly all late answers are time-outs, as clients give up soon after the SLO time; but where answers get lost, those
+/// that come are quick, and turning reads away would help nobody.
+#[rstest]
+#[case::answers_take_long(0.2, true)]
+#[case::answers_get_lost(0.03, false)]
+fn time_outs_tell_of_a_crowd_where_answers_take_long(#[case] took: f64, #[case] crowd: bool) {
+    let mut world = rarely_heard(7, [0.0; 3]);
+    let (mut rejected, mut asked) = (0, 0);
+    for round in 0..120 {
+        let read = world.ask(READ);
+        let at_once = world.count(Done::Reject(read));
+        let (ending, took) =
+            if round % 2 == 0 { (Ending::TimedOut, 0.39) } else { (Ending::Completed, took) };
+        end(&mut world, read, ending, took);
+        if round >= 40 {
+            (rejected, asked) = (rejected + at_once, asked + 1);
+        }
+        world.pass(0.3);
+        tell(&mut world, [0.0; 3]);
+    }
+    assert_eq!(rejected > asked / 3, crowd, "{rejected} of {asked}");
+}
--- a/crates/ottersill/tests/codec.rs
+++ b/crates/ottersill/tests/codec.rs
@@ -199,6 +199,18 @@
     assert!(reply.take(Message(message(last.0, last.1.as_bytes()).into())).is_err());
 }
 
+/// A host that has just started knows no position yet; taken for one, its 0 is a lag of fifty years.
+#[rstest]
+#[case::just_started("x0=0.000,x1=0,utilization=0.25", None)]
+#[case::there("x0=2.500,x1=0,utilization=0.25", Some(2.5))]
+fn a_report_of_load(#[case] text: &str, #[case] lsn: Option<f64>) {
+    let mut reply = reply(&ROW);
+    let parameter = format!("health\0{text}\0");
+    assert_eq!(reply.take(Message(message(b'S', parameter.as_bytes()).into())), Ok(false));
+    let said = reply.report.expect("a report");
+    assert_eq!((said.lsn, said.role, said.busy), (lsn, Some(Role::Replica), Some(0.25)));
+}
+
 /// A load report that can't be read is none, and the answer that it came with is as good as any.
 #[rstest]
 #[case::noise(b"health\0\xff\xfe\0")]
