--- a/crates/core/src/decide.rs
+++ b/crates/core/src/decide.rs
@@ -46,8 +46,9 @@
 const VAGUE: f64 = 0.7;
 /// A read is long if it takes this many times what the shortest workload takes.
 const LONG: f64 = 4.0;
-/// Seconds over which what is asked for is weighed, and after which a member's word on its load fades.
+/// Seconds over which worth is weighed and a member's word on its load fades; change a beat of what is held back.
 const WORTH: f64 = 5.0;
+const FLOW: f64 = 0.02;
 /// Weight of the newest answer in what is learnt of a member; a fifth of it in what is learnt of a workload.
 const LEARN: f64 = 0.1;
 /// Time after which a member that took nothing is tried again.
@@ -72,8 +73,6 @@
     called_at: f64,
     /// When this router last came back from a stall of its own.
     awake_since: f64,
-    /// The part of reads let through to groups heard of rarely; mean part of the SLO time that answers take.
-    open: f64,
     pace: f64,
     bound: Option<f64>,
     list_is_due: bool,
@@ -94,10 +93,6 @@
         (1.0 - self.busy * (-(now - self.busy_at) / WORTH).exp()).max(0.05)
     }
 
-    fn owes_word(&self, now: f64) -> bool {
-        self.busy_at > 0.0 && now - self.busy_at > POLL
-    }
-
     /// Whether one more execution is within a part of the limit. Guards against hundreds of routers that each
     /// have one out: the fraction of a limit goes by lot. A bad word fades, or nothing better would be heard.
     fn holds(&self, now: f64, part: f64, odds: f64) -> bool {
@@ -132,7 +127,6 @@
             probes: 0.0,
             called_at: now,
             awake_since: now,
-            open: 1.0,
             pace: 0.0,
             bound: terms.workloads.iter().filter_map(|w| w.bound()).reduce(f64::min),
             list_is_due: terms.list_on_request,
@@ -202,11 +196,13 @@
         let terms = self.terms_of(&held);
         let (long, writes) = (self.is_long(terms, typical), terms.needs == Needs::Primary);
         let group = &mut self.groups[stmt.group];
-        group.asked += 1.0;
-        let often = writes || now - group.answered_at < TRIAL / 5.0;
-        // What takes the most work for its worth goes first.
-        let open = self.open.min(group.open).powi(if long { 2 } else { 1 });
-        if !often && self.odds(self.draws, index) > open {
+        group.reads += if long { 0.0 } else { worth * f64::from(!writes) };
+        group.writes += worth * f64::from(writes);
+        // What takes most work for its worth goes first; a group heard of often is known by its limits.
+        let often = now - group.answered_at < TRIAL / 5.0;
+        let open = group.open.powi(1 + i32::from(long));
+        let open = if writes { 1.0 - group.held_back } else { open.max(f64::from(often)) };
+        if self.odds(self.draws, index) > open {
             return self.give_up(now, index, front);
         }
         self.place(now, index, front);
@@ -342,9 +338,9 @@
             row.work -= row.work * BEAT / (4.0 * FORGET);
         }
         self.notice_silence(now, front);
+        self.set_flow(now);
         self.turn = (self.turn + 1) % self.groups.len().max(1);
         for group in 0..self.groups.len() {
-            self.groups[group].asked -= self.groups[group].asked * BEAT / WORTH;
             if group == self.turn || !self.groups[group].waiting.is_empty() {
                 self.place_waiting(now, group, front);
                 self.poll(now, group, front);
@@ -355,6 +351,26 @@
         front.wake(BEAT);
     }
 
+    /// Guards against replicas that fall behind for good: writes are let through as replicas can apply them, as
+    /// long as reads lost by that are worth more. Only in groups heard of often: old lags are no reason.
+    fn set_flow(&mut self, now: f64) {
+        let Some(bound) = self.bound else { return };
+        for group in 0..self.groups.len() {
+            let at = &self.groups[group];
+            let replicas = at.members.iter().filter(|h| Some(**h) != at.pointer && self.usable(now, **h));
+            let lags: Vec<f64> = replicas.map(|h| self.members[*h].lag).collect();
+            let part =
+                lags.iter().filter(|lag| **lag > bound / 2.0).count() as f64 / lags.len().max(1) as f64;
+            let often = now - at.answered_at < TRIAL / 5.0;
+            let at = &mut self.groups[group];
+            let hold =
+                often && part * at.reads > at.writes && part * at.reads_lost > at.writes * at.held_back;
+            at.held_back = (at.held_back + if hold { FLOW } else { -FLOW / 2.0 }).clamp(0.0, 0.95);
+            let fade = |worth: &mut f64| *worth -= *worth * BEAT / WORTH;
+            [&mut at.reads_lost, &mut at.reads, &mut at.writes].into_iter().for_each(fade);
+        }
+    }
+
     /// Guards against stalls of this router itself: what was not heard meanwhile tells nothing of members.
     fn wake_up(&mut self, now: f64) {
         self.awake_since = if now - self.called_at > 5.0 * BEAT { now } else { self.awake_since };
@@ -390,6 +406,8 @@
         self.pass(index, State::Vacant);
         let row = &mut self.rows[held.stmt.workload];
         row.may_return += if held.worth > 0.0 { 1.0 } else { 0.5 };
+        let bounded = self.terms_of(&held).bound().is_some();
+        self.groups[held.stmt.group].reads_lost += if bounded { held.worth } else { 0.0 };
         if harmless {
             // A client that comes back after its SLO time only adds load; until then the sooner the better.
             let late = now >= held.arrived + self.terms_of(&held).slo_time;
@@ -437,10 +455,6 @@
         if self.is_long(self.terms_of(held), self.rows[held.stmt.workload].takes(held.more)) {
             // Guards against long reads that stop the log: spread evenly, a few hold every replica back.
             fresh.sort_by_key(|host| self.members[*host].listed.order);
-            let owed = kept.iter().any(|host| self.members[*host].owes_word(now));
-            if owed && self.terms.may_probe && now - held.arrived < READ_WAIT {
-                return None;
-            }
             trial = trial.or_else(|| self.fewest(now, &fresh[..kept.len()], held));
             fresh.truncate(fresh.len().div_ceil(2).max(kept.len()));
             trial = trial.or_else(|| fresh.iter().copied().find(|host| self.room(now, *host, held)));
@@ -478,7 +492,6 @@
         })
     }
 
-    /// The part of all work of late that these workloads are.
     fn part_of(&self, of: impl Fn(&&Row) -> bool) -> f64 {
         let all: f64 = self.rows.iter().map(|row| row.work).sum();
         self.rows.iter().filter(of).map(|row| row.work).sum::<f64>() / all.max(1e-9)
@@ -498,9 +511,7 @@
         let few = (part * kept.len() as f64).round().max(f64::from(part > 0.0)) as usize;
         kept.retain(|host| Some(*host) != group.pointer);
         kept.sort_by_key(|host| self.members[*host].listed.order);
-        // One more where none of these has anything to spare.
-        let full = kept.iter().take(few).all(|host| self.members[*host].spare(now) < COLD / 8.0);
-        kept.truncate(few + usize::from(full && few > 0));
+        kept.truncate(few);
         kept
     }
 
@@ -579,12 +590,8 @@
             || m.lsn >= self.needed(now, held);
         let rules = data && self.effect_allows(now, host, held) && self.cold_allows(now, host, held);
         let health = m.suspicion.is_none() || m.in_flight == 0 && row.terms.effect == Effect::Idempotent;
-        // Full since this one came: no more of its time is lost there. The other lot is not the limit's.
-        let full = m.full_at >= held.arrived;
-        let strained = self.is_long(&row.terms, row.takes(held.more))
-            && self.odds(held.lot + 1, host) > 5.0 * m.spare(now);
-        let willing = health && !full && !strained;
-        rules && willing && self.usable(now, host) && m.holds(now, 1.0, self.odds(held.lot, host))
+        let willing = health && self.usable(now, host) && m.full_at < held.arrived;
+        rules && willing && m.holds(now, 1.0, self.odds(held.lot, host))
     }
 
     fn effect_allows(&self, now: f64, host: usize, held: &Held) -> bool {
@@ -609,7 +616,7 @@
         }
         let group = &self.groups[m.listed.group];
         let size = |host: &usize| self.members[*host].listed.size;
-        let all: f64 = group.members.iter().filter(|host| !self.barred(**host)).map(size).sum();
+        let all: f64 = group.members.iter().map(size).sum();
         let there: f64 = group.members.iter().filter(|host| self.usable(now, **host)).map(size).sum();
         let share = match self.terms_of(held).needs {
             // All fall to the primary, but are far from all of its work, and reads keep off it.
@@ -617,8 +624,9 @@
             _ => size(&host) / there.max(all / 2.0),
         };
         // A group that is asked for more than others would have more fall to each of its members.
-        let mean = self.groups.iter().map(|group| group.asked).sum::<f64>() / self.groups.len() as f64;
-        let hot = (group.asked / mean).max(1.0);
+        let asked = |group: &Group| group.reads + group.writes;
+        let mean = self.groups.iter().map(asked).sum::<f64>() / self.groups.len() as f64;
+        let hot = (asked(group) / mean).max(1.0);
         self.odds(held.lot, host) < COLD * self.terms.fall_multiple / 2.0 * part * share / hot
     }
 
@@ -697,17 +705,14 @@
         let stalled = held.sent < self.awake_since;
         // A statement that is long itself tells of no crowd; one that is short could hide it.
         let took = (outcome.took - held.more).max(0.0);
-        // Guards against crowds no router sees by itself. A time-out tells of one if answers take long too.
+        // Guards against crowds no router sees. A time-out tells of one if answers take long too.
         let late = outcome.ending == Ending::Full || outcome.took.min(took) > row.terms.slo_time;
         let done = outcome.ending == Ending::Completed;
         self.pace += f64::from(done) * LEARN * ((took / row.terms.slo_time).min(1.0) - self.pace);
-        let tells = matches!(outcome.ending, Ending::Completed | Ending::Full)
-            || outcome.ending == Ending::TimedOut && self.pace > EASY;
-        if tells && !stalled {
+        let crowd = outcome.ending == Ending::TimedOut && self.pace > EASY;
+        if !stalled && (done || crowd || outcome.ending == Ending::Full) {
             let step = if late { -group.open / 2.0 } else { REOPEN };
             group.open = (group.open + since * step).clamp(REOPEN / 2.0, 1.0);
-            let step = if late { -LEARN * self.open } else { REOPEN / 3.0 };
-            self.open = (self.open + step).clamp(REOPEN / 2.0, 1.0);
         }
         group.answered_at = now;
         // A second try that paid is not counted.
@@ -805,17 +810,13 @@
         let (pointer, waits) = (at.pointer, !at.waiting.is_empty());
         let mut members: Vec<usize> = at.members.iter().copied().filter(|h| !self.barred(*h)).collect();
         members.sort_by(|a, b| self.members[*a].probed_at.total_cmp(&self.members[*b].probed_at));
-        let long = |index: &usize| self.terms_of(&self.held[*index]).needs == Needs::Any;
-        let kept = if at.waiting.iter().any(long) { self.kept(now, at) } else { Vec::new() };
         let polling = pointer.is_none()
             || members.iter().map(|h| &self.members[*h]).any(|m| m.role.is_none() || !m.reports);
         let bound = self.bound.filter(|_| !self.terms.members_check_reads).unwrap_or(f64::INFINITY);
         for host in members {
             let m = &mut self.members[host];
             let ages = pointer != Some(host) && now - m.lsn > bound - 2.0 * POLL_SOON;
-            let asked = kept.contains(&host) && m.owes_word(now);
-            let decides =
-                asked || pointer.is_none() || m.role.is_none() || m.suspicion.is_some() || m.turns_away;
+            let decides = pointer.is_none() || m.role.is_none() || m.suspicion.is_some() || m.turns_away;
             let period = if decides || ages { POLL_SOON } else { POLL };
             let due = now - m.probed_at >= period || waits && m.role.is_none();
             let paid = waits && decides || self.probes >= 1.0;
--- a/crates/core/src/state.rs
+++ b/crates/core/src/state.rs
@@ -99,8 +99,12 @@
     /// The part of reads let through, by how many come late, and when an answer last came.
     pub open: f64,
     pub answered_at: f64,
-    /// Statements of late.
-    pub asked: f64,
+    /// The part of writes that is held back.
+    pub held_back: f64,
+    /// Importance, of late, of the bounded reads given up, of all short ones, and of the writes.
+    pub reads_lost: f64,
+    pub reads: f64,
+    pub writes: f64,
     /// Highest rank first, then newest, as the oldest would come late; sends, rejections, hangups empty it.
     pub waiting: Vec<usize>,
 }
