--- a/crates/core/tests/decisions.rs
+++ b/crates/core/tests/decisions.rs
@@ -231,6 +231,33 @@
     assert_ne!(world.sent_to(next), [1]);
 }
 
+/// Found on overloaded days: with the log applied slowly all replicas fell behind for good.
+#[rstest]
+#[case::replicas_behind([3.0; 3], true)]
+#[case::replicas_fresh([0.0; 3], false)]
+fn writes_are_held_back_while_lagging_costs_reads(#[case] lags: [f64; 3], #[case] held_back: bool) {
+    let mut world = World::settled(true, lags);
+    let mut rejected = 0;
+    for round in 0..400 {
+        world.pass(0.02);
+        (0..3).for_each(|_| {
+            world.ask(READ);
+        });
+        if round % 4 == 0 {
+            let write = world.ask(WRITE);
+            rejected += world.count(Done::Reject(write));
+            for host in world.sent_to(write) {
+                world.end(write, host, Ending::Completed, Some(Primary));
+            }
+        }
+        if round % 10 == 0 {
+            world.report(0, Primary, 0.0);
+            (1..4).for_each(|host| world.report(host, Replica, lags[host - 1]));
+        }
+    }
+    assert_eq!(rejected > 20, held_back, "{rejected}");
+}
+
 /// Found on overloaded days: a repeat carries another time than first tries. And in an incident: so do first tries
 /// of clients in a hurry, which are not to be taken for late ones.
 #[rstest]
--- a/crates/core/tests/rarely_heard.rs
+++ b/crates/core/tests/rarely_heard.rs
@@ -187,3 +187,19 @@
     }
     assert_eq!(rejected > asked / 3, crowd, "{rejected} of {asked}");
 }
+
+/// Where the group is heard of rarely, lags were told long ago: nearly all writes were held back for them.
+#[test]
+fn writes_are_not_held_back_for_lags_told_long_ago() {
+    let mut world = rarely_heard(7, [3.0; 3]);
+    for round in 0..80 {
+        (0..6).for_each(|_| {
+            world.ask(READ);
+        });
+        let write = world.ask(WRITE);
+        assert_eq!(world.count(Done::Reject(write)), 0, "round {round}");
+        end(&mut world, write, Ending::Completed, 0.05);
+        world.pass(0.5);
+        tell(&mut world, [3.0; 3]);
+    }
+}
