--- a/crates/core/tests/rarely_heard.rs
+++ b/crates/core/tests/rarely_heard.rs
@@ -203,3 +203,21 @@
         tell(&mut world, [3.0; 3]);
     }
 }
+
+/// A router that has heard of few members, in a group from which half have left, sent a cold one twice its part; summed
+/// over hundreds of routers it was pushed over (fleet days, a version between).
+#[test]
+fn a_cold_host_gets_no_more_for_those_that_left() {
+    let mut world = World::new(Terms { routers: 300, ..terms(true) });
+    [2, 3].into_iter().for_each(|host| world.list(host, Standing::Gone, None));
+    world.list(1, Standing::Ready, Some(world.now));
+    let mut sent = 0;
+    for _ in 0..400 {
+        world.report(1, Role::Replica, 0.0);
+        let read = world.ask(READ);
+        sent += usize::from(end(&mut world, read, Ending::Completed, 0.05) == Some(1));
+        world.router.hangup(read);
+    }
+    // A fifth of its capacity at the start, times its half of the group: a tenth.
+    assert!((20..60).contains(&sent), "{sent}");
+}
