Routers talk: budgets of the fleet gate executions, probes and connections; a rig of processes

Found: two clock readings taken apart put a router's Unix time off by as long as it was off its core; the best of five readings counts now.

--- a/crates/core/src/decide.rs
+++ b/crates/core/src/decide.rs
@@ -1,7 +1,6 @@
-//! The decisions of ottersill: which member runs a statement, when it waits, when it is given up.
-//!
-//! Build a [`Router`] with `start`, then call the rest as things happen, with a clock in seconds; it answers
-//! through the `Front` it is lent. The types are in `interface.rs`, the router's records in `state.rs`.
+//! The decisions of ottersill: which member runs a statement, when it waits, when it is given up. Build a
+//! [`Router`] with `start`, then call the rest as things happen, with a clock in seconds; it answers by the
+//! `Front` it is lent. The types are in `interface.rs`, the router's records in `state.rs`.
 
 use std::collections::BTreeMap;
 use std::hash::{DefaultHasher, Hash, Hasher};
@@ -19,7 +18,7 @@
 const BEAT: f64 = 0.02;
 /// How long a read that finds no fresh replica waits before it takes the primary.
 const READ_WAIT: f64 = 0.03;
-/// Answers that use this part of the SLO time on average leave room for the long ones; the second does not.
+/// Answers that use this part of the SLO time on average leave room for long ones; the second does not.
 const EASY: f64 = 0.35;
 const TIGHT: f64 = 0.5;
 /// Executions in flight on a member nothing is known of yet, from all routers.
@@ -34,9 +33,8 @@
 const TRIAL: f64 = 1.0;
 /// Margin for the chance in what a cold host is sent.
 const COLD: f64 = 0.8;
-/// Typical answer times that an execution needs to be likely in time.
+/// Typical answer times that an execution needs to be likely in time, and that are worth a try at once.
 const ENOUGH: f64 = 1.4;
-/// What can be placed at once is worth a try with this many left.
 const HASTE: f64 = 0.7;
 /// Further executions of what may have run, as a part of first ones.
 const SECOND_TRIES: f64 = 0.1;
@@ -46,7 +44,7 @@
 const VAGUE: f64 = 0.7;
 /// A read is long if it takes this many times what the shortest workload takes.
 const LONG: f64 = 4.0;
-/// Seconds over which worth is weighed and a member's word on its load fades; change a beat of what is held back.
+/// Seconds over which worth is weighed and a word on load fades; change a beat of what is held back.
 const WORTH: f64 = 5.0;
 const FLOW: f64 = 0.02;
 /// Weight of the newest answer in what is learnt of a member; a fifth of it in what is learnt of a workload.
@@ -63,7 +61,7 @@
     groups: Vec<Group>,
     /// A slot a statement held by the front; as many as were ever held at once.
     held: Vec<Held>,
-    /// Statements each tenant may still send within its share, as of the time beside it.
+    /// Statements each tenant may still send within its share, as of when.
     shares: Vec<(f64, f64)>,
     /// Last write of each session, where sessions are remembered; emptied once all the group has it.
     marks: BTreeMap<u64, (f64, usize)>,
@@ -71,13 +69,13 @@
     /// Probes paid for and not sent yet.
     probes: f64,
     called_at: f64,
-    /// When this router last came back from a stall of its own.
+    /// When it last came back from a stall of its own.
     awake_since: f64,
     pace: f64,
     bound: Option<f64>,
     list_is_due: bool,
     draws: u64,
-    /// The group whose turn it is to be looked at on a beat though nothing waits there.
+    /// The group that is looked at on this beat though nothing waits there.
     turn: usize,
 }
 
@@ -93,11 +91,12 @@
         (1.0 - self.busy * (-(now - self.busy_at) / WORTH).exp()).max(0.05)
     }
 
-    /// Whether one more execution is within a part of the limit. Guards against hundreds of routers that each
-    /// have one out: the fraction of a limit goes by lot. A bad word fades, or nothing better would be heard.
+    /// Whether one more execution is within a part of the limit, of which the fraction goes by lot, as
+    /// hundreds of routers may have one out. A bad word fades, or nothing better would be heard.
     fn holds(&self, now: f64, part: f64, odds: f64) -> bool {
         let limit = self.limit.max(((now - self.answered_at) / FORGET).min(1.0));
-        (self.in_flight as f64) + odds < limit * part
+        let granted = self.units.is_none_or(|units| (self.in_flight as f64) < units);
+        granted && (self.in_flight as f64) + odds < limit * part
     }
 }
 
@@ -153,14 +152,14 @@
     pub fn statement(&mut self, now: f64, index: usize, stmt: Statement, front: &mut impl Front) {
         let stmt = Statement { workload: self.row_of(stmt.workload, stmt.writes), ..stmt };
         let row = &mut self.rows[stmt.workload];
-        // A client gives each first try the same time to a tick, a later one what is left of its patience.
+        // A client gives each first try the same time, a later one what is left of its patience.
         let (usual, votes) = row.usual;
         if !stmt.repeat {
             let vote = if (stmt.time_left - usual).abs() < BEAT { 1 } else { -1 };
             row.usual = if votes + vote < 0 { (stmt.time_left, 1) } else { (usual, votes + vote) };
         }
         let later = (stmt.time_left - row.usual.0).abs() >= BEAT;
-        // Unmarked, another time than the usual tells of a later try only as far as tries have failed here.
+        // Unmarked, another time than the usual tells of a later try as far as tries have failed here.
         let returned = stmt.repeat || later && row.may_return >= 1.0;
         let late = f64::from(later && returned);
         row.may_return -= late * row.may_return.min(1.0);
@@ -281,7 +280,6 @@
             // A hung process answers probes; only an execution clears it.
             suspicion => suspicion.map(|s| Suspicion { probe_ok: true, ..s }),
         };
-        // Many routers that ask in step would be turned away in step.
         m.probed_at -= if ending == Ending::Full { lot * POLL_SOON } else { 0.0 };
         m.reports |= report.role.is_some() && self.terms.reports == Reports::WithAnswers;
         self.hear(now, host, report, false);
@@ -295,7 +293,6 @@
                 // Spread over a second, unless a statement waits: all routers may start at once.
                 let probed_at = now - POLL * self.odds(self.draws, listed.host);
                 self.members.push(Member { probed_at, load: EASY, limit: first_limit, ..Member::default() });
-                self.probes += 1.0;
                 self.group(listed.group).members.push(listed.host);
             }
             let m = &mut self.members[listed.host];
@@ -317,6 +314,17 @@
         &mut self.groups[group]
     }
 
+    /// What the fleet leaves this router of its budgets, where there is talk: bounds beside its reckoning.
+    pub fn parts(&mut self, now: f64, parts: &Parts, front: &mut impl Front) {
+        parts.hosts.iter().for_each(|(host, units)| self.members[*host].units = Some(*units));
+        self.second_tries = parts.second_tries.unwrap_or(self.second_tries);
+        (0..self.groups.len()).for_each(|group| self.place_waiting(now, group, front));
+    }
+
+    pub fn waiting(&self, group: usize) -> usize {
+        self.groups.get(group).map_or(0, |group| group.waiting.len())
+    }
+
     pub fn list_failed(&mut self) {
         self.list_is_due = self.terms.list_on_request;
     }
@@ -351,8 +359,7 @@
         front.wake(BEAT);
     }
 
-    /// Guards against replicas that fall behind for good: writes are let through as replicas can apply them, as
-    /// long as reads lost by that are worth more. Only in groups heard of often: old lags are no reason.
+    /// Guards against replicas that fall behind for good, where reads lost are worth more than writes held.
     fn set_flow(&mut self, now: f64) {
         let Some(bound) = self.bound else { return };
         for group in 0..self.groups.len() {
@@ -502,8 +509,8 @@
         terms.needs == Needs::Any && takes > LONG * shortest
     }
 
-    /// The replicas that long reads are kept together on: as many of those that are there as their part of all
-    /// work fills, in an order that is the same at all routers, so that hundreds meet without a word.
+    /// The replicas that long reads are kept together on: as many as their part of all work fills, in an
+    /// order that is the same at all routers, so that hundreds meet without a word.
     fn kept(&self, now: f64, group: &Group) -> Vec<usize> {
         let part = self.part_of(|row| self.is_long(&row.terms, row.typical));
         let mut kept = group.members.clone();
@@ -525,8 +532,7 @@
         group.pointer.filter(|host| taken && self.room(now, *host, held))
     }
 
-    /// Of those with fewest executions in flight one is drawn by lot, weighted by size and by how quickly it
-    /// answers: where routers are many nearly all have none in flight, and the lot alone spreads the load.
+    /// Of those with fewest executions in flight, nearly all where routers are many, one is drawn by lot.
     fn fewest(&self, now: f64, among: &[usize], held: &Held) -> Option<usize> {
         let open: Vec<usize> = among.iter().copied().filter(|host| self.room(now, *host, held)).collect();
         let least = open.iter().map(|host| self.members[*host].in_flight).min()?;
@@ -561,8 +567,7 @@
         }
     }
 
-    /// The position taken for a member's. Where members check reads, it is carried on from the last word:
-    /// one that fell behind since turns a read away, which costs less than asking it each time.
+    /// The position taken for a member's; where members check reads, carried on from the last word.
     fn stands(&self, now: f64, host: usize) -> f64 {
         let m = &self.members[host];
         // Nobody asks it often where routers are many: one that fell behind is taken to catch up meanwhile.
@@ -606,8 +611,7 @@
     }
 
     /// Guards against pushing over a cold host: of the statements that fall to it by its size, a lot lets
-    /// through its part times the multiple at which it falls, with a margin. However many routers there are,
-    /// and however rarely each sends, together they keep to it; none counts on the others.
+    /// through its part times the multiple at which it falls, with a margin, at all routers alike.
     fn cold_allows(&self, now: f64, host: usize, held: &Held) -> bool {
         let m = &self.members[host];
         let part = self.part(now, m);
@@ -762,9 +766,8 @@
         }
     }
 
-    /// Guards against members that take statements and answer none: hung, cut off, paused or dead without a
-    /// reset. Silence is weighed by how many typical answer times have passed for all that is out there, two
-    /// executions at least: one alone may be a lost answer.
+    /// Guards against members that take statements and answer none, by how many typical answer times have
+    /// passed for all that is out there, two executions at least: one alone may be a lost answer.
     fn notice_silence(&mut self, now: f64, front: &mut impl Front) {
         let mut silence: BTreeMap<usize, (f64, f64)> = BTreeMap::new();
         for held in &self.held {
@@ -785,7 +788,7 @@
         self.recall(now, front);
     }
 
-    /// Calls a read off a silent suspect at the last moment at which another can answer in time.
+    /// Calls a read off a silent suspect at the last moment for another to answer in time.
     fn recall(&mut self, now: f64, front: &mut impl Front) {
         for index in 0..self.held.len() {
             let held = self.held[index];
@@ -803,8 +806,7 @@
     }
 
     /// Probes the members of a polling group, and those whose next word decides something, as far as
-    /// statements pay for it: where routers are many, probes would outnumber statements. What a waiting
-    /// statement needs to be known is asked at once.
+    /// statements pay for it, or many routers would ask more than they send; what one waits for at once.
     fn poll(&mut self, now: f64, group: usize, front: &mut impl Front) {
         let at = &self.groups[group];
         let (pointer, waits) = (at.pointer, !at.waiting.is_empty());
--- a/crates/core/src/facade.rs
+++ b/crates/core/src/facade.rs
@@ -7,7 +7,7 @@
 use std::collections::VecDeque;
 
 use crate::Router;
-use crate::interface::{Ending, Front, Listed, Outcome, Report, Statement, Terms};
+use crate::interface::{Ending, Front, Listed, Outcome, Parts, Report, Statement, Terms};
 
 pub enum Ask {
     /// A statement that was just taken in.
@@ -49,6 +49,8 @@
         report: Report,
     },
     List(&'a [Listed]),
+    /// What the fleet leaves this router of its budgets.
+    Parts(&'a Parts),
     ListFailed,
     /// The client left before its answer.
     ClientGone(usize),
@@ -143,6 +145,7 @@
                 self.router.probed(now, host, ending, report, &mut self.desk);
             }
             News::List(list) => self.router.hosts(now, list, &mut self.desk),
+            News::Parts(parts) => self.router.parts(now, parts, &mut self.desk),
             News::ListFailed => self.router.list_failed(),
             News::ClientGone(stmt) => self.gone(now, stmt),
         }
@@ -179,6 +182,11 @@
         std::mem::take(&mut self.desk.due)
     }
 
+    /// Statements that wait in a group for a member that may take them.
+    pub fn waiting(&self, group: usize) -> usize {
+        self.router.waiting(group)
+    }
+
     /// When `tick` wants to be called, if nothing else happens before.
     pub fn wake_at(&self) -> f64 {
         self.desk.wake_at
--- a/crates/core/src/interface.rs
+++ b/crates/core/src/interface.rs
@@ -206,6 +206,15 @@
     pub started_at: Option<f64>,
 }
 
+/// This router's parts of the fleet's budgets, as they are now.
+#[derive(Clone, Debug, Default)]
+pub struct Parts {
+    /// Executions that it may have out at each host of which a part is known.
+    pub hosts: Vec<(usize, f64)>,
+    /// Second tries that it may send now, where there is a budget for these.
+    pub second_tries: Option<f64>,
+}
+
 /// Carries out what the router decides.
 pub trait Front {
     /// Sends an execution; `time_out` of 0 leaves it out until the client gives up.
--- a/crates/core/src/state.rs
+++ b/crates/core/src/state.rs
@@ -83,6 +83,8 @@
     /// Executions that ended without an answer since.
     pub missed: f64,
     pub in_flight: usize,
+    /// Executions that this router may have out there, where the fleet divides a budget for it.
+    pub units: Option<f64>,
     pub limit: f64,
     /// Mean time of answers as a part of their SLO time.
     pub load: f64,
--- a/crates/core/tests/rarely_heard.rs
+++ b/crates/core/tests/rarely_heard.rs
@@ -221,3 +221,31 @@
     // A fifth of its capacity at the start, times its half of the group: a tenth.
     assert!((20..60).contains(&sent), "{sent}");
 }
+
+/// Three hundred fresh routers that each ask all hosts at once ask more than all statements of their first seconds together.
+#[test]
+fn a_fresh_router_asks_only_where_it_is_asked() {
+    let mut world = World::new(Terms { routers: 300, ..terms(true) });
+    for _ in 0..200 {
+        world.now += 0.02;
+        world.router.timer(world.now, &mut world.book);
+    }
+    let probes = |world: &World| world.book.0.iter().filter(|done| matches!(done, Done::Probe(_))).count();
+    assert_eq!(probes(&world), 0, "nobody has asked for anything");
+    world.ask(READ);
+    assert_eq!(probes(&world), 4, "a statement waits: all members of its group, at once");
+}
+
+/// Where the fleet divides what may be out at a host, a router goes by its part.
+#[test]
+fn a_part_of_the_fleet_s_budget_bounds_what_is_out() {
+    let mut world = World::settled(true, [0.0; 3]);
+    let parts = |units: f64| Parts { hosts: (0..4).map(|host| (host, units)).collect(), second_tries: None };
+    world.router.parts(world.now, &parts(1.0), &mut world.book);
+    let asked: Vec<usize> = (0..9).map(|_| world.ask(READ)).collect();
+    let out = asked.iter().filter(|stmt| !world.sent_to(**stmt).is_empty()).count();
+    assert!((3..=4).contains(&out), "{out}");
+    assert_eq!(world.router.waiting(0), 9 - out);
+    world.router.parts(world.now, &parts(3.0), &mut world.book);
+    assert!(world.router.waiting(0) < 9 - out, "what waits goes out once there is more");
+}
--- a/crates/fleet/src/fleet.rs
+++ b/crates/fleet/src/fleet.rs
@@ -107,6 +107,7 @@
     /// The first question that is still open, if one is.
     open_since: Option<f64>,
     ask_at: f64,
+    asked_at: f64,
     members: Members,
     seal: Seal,
     phase: Phase,
@@ -153,6 +154,7 @@
             asked: VecDeque::new(),
             open_since: None,
             ask_at: now,
+            asked_at: f64::NEG_INFINITY,
             members: Members::start(now, me.clone(), berth.at, berth.seeds, berth.seed),
             seal: Seal::new(berth.secret, me.clone()),
             phase: Phase::Taking,
@@ -182,14 +184,34 @@
 
     /// Spends a unit, if there is one at `now`, for which the clock is to be read anew. The event names the grant.
     pub fn take(&mut self, now: f64, key: Key) -> bool {
-        let asks_soon = now + self.charter.lease / SHORT_ASKS;
         let taken = self.purse(now, key).is_some_and(|purse| purse.take(now));
-        if !taken && self.phase == Phase::Taking {
-            self.ask_at = self.ask_at.min(asks_soon);
+        if !taken {
+            self.hurry(now);
         }
         taken
     }
 
+    /// Asks as soon as it may again: at once, if it has not asked just now.
+    fn hurry(&mut self, now: f64) {
+        self.ask_at = self.ask_at.min((self.asked_at + self.charter.lease / SHORT_ASKS).max(now));
+    }
+
+    /// Something waits for so many units beyond those in use.
+    pub fn want(&mut self, now: f64, key: Key, units: u64) {
+        if let Some(purse) = self.purse(now, key) {
+            purse.want(units);
+            self.hurry(now);
+        }
+    }
+
+    pub fn lingering(&self, key: Key) -> u64 {
+        self.purses.get(&key).map_or(0, Purse::lingering)
+    }
+
+    pub fn tokens(&mut self, now: f64, key: Key) -> f64 {
+        self.purse(now, key).map_or(0.0, |purse| purse.tokens(now))
+    }
+
     pub fn has(&mut self, now: f64, key: Key) -> bool {
         self.purse(now, key).is_some_and(|purse| purse.has(now))
     }
@@ -275,7 +297,11 @@
             return;
         }
         self.phase = Phase::Left;
-        self.purses.values_mut().for_each(|purse| purse.give_back(now));
+        for (key, purse) in &mut self.purses {
+            purse.give_back(now);
+            let (epoch, amounts, until) = (self.epoch, [0; POTS], [now; POTS]);
+            self.events.push(Event::Right { key: *key, epoch, serial: u64::MAX, amounts, until });
+        }
         let (nonce, seen, electorate) = (self.nonce + 1, self.epoch, self.electorate);
         self.nonce = nonce;
         if let Some(keeper) = self.keeper.clone() {
@@ -531,6 +557,7 @@
         }
         self.open_since.get_or_insert(now);
         let soon = short || self.keeper.is_none();
+        self.asked_at = now;
         self.ask_at = now + lease / if soon { SHORT_ASKS } else { ASKS };
     }
 
--- a/crates/fleet/src/purse.rs
+++ b/crates/fleet/src/purse.rs
@@ -121,7 +121,7 @@
         self.counted_at = now.max(self.counted_at);
     }
 
-    fn in_use(&self) -> u64 {
+    pub fn in_use(&self) -> u64 {
         self.in_hand + self.lingering.len() as u64
     }
 
@@ -158,6 +158,23 @@
         }
     }
 
+    /// Something waits for a unit that this purse has not; asks for as many as that.
+    pub fn want(&mut self, units: u64) {
+        self.short = self.short.max(units);
+        self.peak = self.peak.max((self.in_use() + units) as f64);
+    }
+
+    /// Units in use that are counted out to their hold, as it is not known whether they are over.
+    pub fn lingering(&self) -> u64 {
+        self.lingering.len() as u64
+    }
+
+    /// Tokens of a rate that are there now.
+    pub fn tokens(&mut self, now: f64) -> f64 {
+        self.count(now);
+        self.tokens
+    }
+
     /// A thing in hand has ended; `proved` if it is known to be over where it ran, else it counts for the whole hold, as
     /// what was given up may be running still.
     pub fn put(&mut self, now: f64, proved: bool) {
@@ -184,7 +201,7 @@
         }
         self.short = 0;
         let asked = self.recent.max(self.in_use() as f64);
-        if asked < 0.01 { 0 } else { (asked * ROOM).ceil() as u64 }
+        if asked < 0.01 { 0 } else { (asked * ROOM).max(asked.ceil()) as u64 }
     }
 
     pub fn used(&mut self, now: f64) -> u64 {
--- a/example/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -3,7 +3,7 @@
 use std::io::{self, BufRead};
 use std::process::ExitCode;
 
-use ottersill_example::{Client, Conduct, Toy, unix_ms};
+use ottersill_lab::store::{Client, Conduct, Toy, unix_ms};
 
 const ROUTER: &str = "127.0.0.1:7400";
 const DISCOVERY: &str = "127.0.0.1:7500";
@@ -26,7 +26,7 @@
     match done {
         Ok(()) => ExitCode::SUCCESS,
         Err(fault) => {
-            eprintln!("ottersill-example: {fault}");
+            eprintln!("ottersill-lab: {fault}");
             ExitCode::FAILURE
         }
     }
--- a/example/src/lib.rs
+++ b/crates/lab/src/store.rs
@@ -60,6 +60,20 @@
     health: &'static str,
     /// Statements that came in whole.
     taken: Vec<String>,
+    /// Executions that are under way, and the most that ever were at once.
+    under_way: usize,
+    most: usize,
+    /// What was executed: the statement's `id`, and when it began and ended, in Unix seconds.
+    executed: Vec<Execution>,
+}
+
+/// One execution of a statement at a host.
+#[derive(Clone, Debug)]
+pub struct Execution {
+    pub id: String,
+    pub wrote: bool,
+    pub began: f64,
+    pub ended: f64,
 }
 
 #[derive(Default)]
@@ -68,6 +82,8 @@
     seq: u64,
     silent_discovery: bool,
     closing_discovery: bool,
+    /// How long a statement's work takes; nothing at first.
+    work: Duration,
     values: HashMap<String, Vec<u8>>,
     /// Views that write when they are read.
     sly: Vec<String>,
@@ -91,7 +107,16 @@
         let mut state = self.lock();
         let number = state.hosts.len();
         let conduct = if number == 0 { Conduct::Primary } else { Conduct::Replica };
-        state.hosts.push(Host { at, conduct, primary: number == 0, health: "active", taken: Vec::new() });
+        state.hosts.push(Host {
+            at,
+            conduct,
+            primary: number == 0,
+            health: "active",
+            taken: Vec::new(),
+            under_way: 0,
+            most: 0,
+            executed: Vec::new(),
+        });
         state.seq += 1;
         self.serve(listener, move |toy, client| toy.serve_host(number, client));
         Ok(at)
@@ -143,6 +168,20 @@
         self.lock().sly.push(view.to_string());
     }
 
+    /// From now on each statement takes that long.
+    pub fn set_work(&self, work: Duration) {
+        self.lock().work = work;
+    }
+
+    /// The most executions that were under way at a host at once.
+    pub fn most_at_once(&self, host: usize) -> usize {
+        self.lock().hosts[host].most
+    }
+
+    pub fn executed(&self, host: usize) -> Vec<Execution> {
+        self.lock().hosts[host].executed.clone()
+    }
+
     pub fn hosts(&self) -> usize {
         self.lock().hosts.len()
     }
@@ -191,6 +230,7 @@
             body.pop();
             let text = String::from_utf8_lossy(&body).into_owned();
             let conduct = self.note(number, &text);
+            self.work(number, &text);
             let mut out = match conduct {
                 Conduct::Silent if is_statement(&text) => continue,
                 Conduct::Resets if is_statement(&text) => return Ok(()),
@@ -219,6 +259,29 @@
         host.conduct
     }
 
+    /// Takes the time that the statement's work takes, and writes down that it ran.
+    fn work(&self, number: usize, text: &str) {
+        if !is_statement(text) {
+            return;
+        }
+        let began = unix_ms() as f64 / 1000.0;
+        let work = {
+            let mut state = self.lock();
+            let work = state.work;
+            let host = &mut state.hosts[number];
+            host.under_way += 1;
+            host.most = host.most.max(host.under_way);
+            work
+        };
+        thread::sleep(work);
+        let id = text.split_once("id=").map_or("", |(_, rest)| rest);
+        let id: String = id.chars().take_while(char::is_ascii_hexdigit).collect();
+        let host = &mut self.lock().hosts[number];
+        host.under_way -= 1;
+        let (wrote, ended) = (host.primary && text.starts_with("INSERT"), unix_ms() as f64 / 1000.0);
+        host.executed.push(Execution { id, wrote, began, ended });
+    }
+
     fn ready(&self, number: usize) -> Vec<u8> {
         let recovery = if self.lock().hosts[number].primary { "off" } else { "on" };
         let mut out = parameter("recovery", recovery);
--- a/crates/ottersill/src/command/mod.rs
+++ b/crates/ottersill/src/command/mod.rs
@@ -1,6 +1,7 @@
 //! The command line. Without a command the router runs.
 
 pub mod explain;
+pub mod fleet;
 
 use clap::{Parser, Subcommand};
 
@@ -8,6 +9,9 @@
 #[derive(Parser)]
 #[command(version, about)]
 pub struct Arguments {
+    /// The fleet's file, in protobuf text format: budgets divided among routers that talk. Without it there is no talk.
+    #[arg(long, value_name = "FILE")]
+    fleet: Option<String>,
     #[command(subcommand)]
     command: Option<Command>,
 }
@@ -16,12 +20,15 @@
 enum Command {
     /// Says of each statement what it is, where it may go, and why.
     Explain(explain::Arguments),
+    /// Asks a running router about its fleet.
+    Fleet(fleet::Arguments),
 }
 
 /// Does what the command line asks for; the error is one line for whoever typed it.
 pub fn run(arguments: Arguments) -> Result<(), String> {
     match arguments.command {
-        None => crate::lifecycle::serve::run(),
+        None => crate::lifecycle::serve::run(arguments.fleet.as_deref()),
         Some(Command::Explain(arguments)) => explain::run(&arguments),
+        Some(Command::Fleet(arguments)) => fleet::run(&arguments),
     }
 }
--- a/crates/ottersill/src/lifecycle/serve.rs
+++ b/crates/ottersill/src/lifecycle/serve.rs
@@ -10,8 +10,9 @@
 use crate::lifecycle::charter::{self, Charter};
 use crate::lifecycle::log::Log;
 use crate::lifecycle::reload::Reload;
+use crate::memory::link::Link;
 use crate::wire::exchange::{Exchange, Party};
-use crate::wire::socket;
+use crate::wire::{fleet_side, socket};
 
 /// For this long after SIGTERM new clients still come, as the protocol page has it; seconds.
 const ARRIVALS: f64 = 0.4;
@@ -32,17 +33,19 @@
     Done,
 }
 
-pub fn run() -> Result<(), String> {
+/// `fleet` names the file of the fleet, where routers talk.
+pub fn run(fleet: Option<&str>) -> Result<(), String> {
     let log = Log::default();
-    serve(charter::find()?, &log)
+    serve(charter::find()?, fleet, &log)
 }
 
-fn serve(charter: Charter, log: &Log) -> Result<(), String> {
+fn serve(charter: Charter, fleet: Option<&str>, log: &Log) -> Result<(), String> {
     let berths = charter.limits.berths().map_err(|e| format!("NODE_CONFIG: {e}"))?;
     let upkeep = charter.settings.upkeep().map_err(|e| format!("NODE_CONFIG: settings.{e}"))?;
     let (terms, names) =
         charter.settings.clone().terms(charter.seed).map_err(|e| format!("NODE_CONFIG: settings.{e}"))?;
     let longest = terms.workloads.iter().map(|w| w.statement_timeout).fold(0.0, f64::max);
+    let link = fleet.map(|path| Link::open(path, &charter.name, longest, charter.seed)).transpose()?;
     let mut events = EventLoop::try_new().map_err(|e| format!("event loop: {e}"))?;
     let signals = Signals::new(&[Signal::SIGTERM, Signal::SIGINT, Signal::SIGUSR1, Signal::SIGHUP]);
     let signals = signals.map_err(|e| format!("signals: {e}"))?;
@@ -60,6 +63,9 @@
         exchange.take_list(known);
     }
     exchange.watch_discovery();
+    if let Some(link) = link {
+        fleet_side::begin(&mut exchange, link)?;
+    }
     info!(exchange.log, "started"; "listen" => %charter.listen, "discovery" => %charter.discovery);
     // A full backlog drops the first packet of a connection, which is then sent again after a second.
     let door = Door { at: charter.listen, backlog: charter.limits.sockets };
@@ -74,6 +80,7 @@
         exchange.turn();
         if std::mem::take(&mut exchange.reload_asked) {
             reload.ask(exchange.now);
+            exchange.fleet_reloads();
         }
         reload.turn(&mut exchange);
         exchange.counters.log_dropped = log.dropped();
@@ -125,7 +132,10 @@
             exchange.retire();
             Phase::Retiring(exchange.now + longest)
         }
-        Phase::Retiring(until) if exchange.is_empty() || exchange.now >= until => Phase::Done,
+        Phase::Retiring(until) if exchange.is_empty() || exchange.now >= until => {
+            exchange.fleet_leaves();
+            Phase::Done
+        }
         phase => phase,
     })
 }
--- a/crates/ottersill/src/memory/alarms.rs
+++ b/crates/ottersill/src/memory/alarms.rs
@@ -1,4 +1,4 @@
-//! What falls due by time. Holds at most one alarm for each line and client, one each for discovery and listener; each
+//! What falls due by time. Holds at most one alarm for each line and client, one each for discovery, fleet, listener and whoever asks; each
 //! is taken out when it is due, moved or its owner ends.
 
 use std::collections::BTreeSet;
@@ -8,6 +8,9 @@
     Line(usize),
     Client(usize),
     Discovery,
+    Fleet,
+    /// One who asks at the control listener.
+    Asker(usize),
     /// Clients wait at the door.
     Listener,
 }
--- a/crates/ottersill/src/memory/counters.rs
+++ b/crates/ottersill/src/memory/counters.rs
@@ -55,6 +55,7 @@
     host_nonsense: "Connections to hosts ended for what is no answer of the protocol.",
     probes: "Probes sent.",
     probes_failed: "Probes without a report.",
+    fleet_refused: "Executions, probes and connections for which no part of a budget was left.",
     reloads: "Charters read again on SIGHUP.",
     reloads_failed: "Readings of a charter on SIGHUP that could not be taken.",
     lists: "Host lists and changes read.",
--- a/crates/ottersill/src/memory/hosts.rs
+++ b/crates/ottersill/src/memory/hosts.rs
@@ -11,6 +11,8 @@
 
 pub struct Host {
     pub name: String,
+    /// Of its name, by which the members of a fleet speak of it.
+    pub label: u64,
     pub dial: Option<SocketAddr>,
     pub listed: Listed,
     /// Lines that stand idle, the last used at the end; a line leaves when it is used, closed or idles too long.
@@ -83,7 +85,16 @@
         if host == self.all.len() {
             self.by_name.insert(entry.host.clone(), host);
             let name = entry.host.clone();
-            self.all.push(Host { name, dial: None, listed, idle: Vec::new(), broken: 0, logged_at: 0.0 });
+            let label = ottersill_fleet::terms::label(&name);
+            self.all.push(Host {
+                name,
+                label,
+                dial: None,
+                listed,
+                idle: Vec::new(),
+                broken: 0,
+                logged_at: 0.0,
+            });
         }
         listed
     }
--- a/crates/ottersill/src/memory/statements.rs
+++ b/crates/ottersill/src/memory/statements.rs
@@ -45,6 +45,8 @@
     pub place: Option<Place>,
     /// When its client stops waiting.
     pub gives_up_at: f64,
+    /// An execution of it has ended that may have run.
+    pub ran: bool,
 }
 
 /// Grows to as many as were ever in hand at once; the facade's numbers are used again.
@@ -93,6 +95,11 @@
         self.held.get(index).filter(|held| held.stage != Stage::Vacant)
     }
 
+    /// An execution of it has ended, and may have run.
+    pub fn note_ran(&mut self, index: usize) {
+        self.held[index].ran = true;
+    }
+
     pub fn is_open(&self, id: u64) -> bool {
         self.ids.contains(&id)
     }
--- a/crates/ottersill/src/wire/client_side.rs
+++ b/crates/ottersill/src/wire/client_side.rs
@@ -386,7 +386,15 @@
         };
         self.counters.statements += 1;
         self.open(stmt, |exchange, index| {
-            let held = Held { stage: Stage::Waiting, client, id, text: told, place: word.place, gives_up_at };
+            let held = Held {
+                stage: Stage::Waiting,
+                client,
+                id,
+                text: told,
+                place: word.place,
+                gives_up_at,
+                ran: false,
+            };
             exchange.statements.enter(index, held, &mut exchange.counters);
             exchange.session_passes(client, Session::Busy(index));
             exchange.clients[client].used = true;
--- a/crates/ottersill/src/wire/exchange.rs
+++ b/crates/ottersill/src/wire/exchange.rs
@@ -23,7 +23,9 @@
 use crate::memory::counters::Counters;
 use crate::memory::hosts::Hosts;
 use crate::memory::lines::Line;
+use crate::memory::link::Link;
 use crate::memory::statements::Statements;
+use crate::wire::control::Control;
 use crate::wire::discovery::Watch;
 
 /// One time for everything: it never goes back, and was tied to Unix time once, since positions are Unix times.
@@ -34,9 +36,15 @@
 }
 
 impl Default for Clock {
+    /// Both clocks are read as one: a process that was not on a core between the two readings would be off by that for
+    /// good, and in what it tells others. Of some readings the one that took least counts.
     fn default() -> Clock {
-        let unix = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
-        Clock { started: Instant::now(), unix: unix.as_secs_f64() }
+        let read = || {
+            let started = Instant::now();
+            let unix = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+            (started.elapsed(), Clock { started, unix: unix.as_secs_f64() })
+        };
+        (0..4).map(|_| read()).fold(read(), |best, one| if one.0 < best.0 { one } else { best }).1
     }
 }
 
@@ -51,6 +59,9 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Party {
     Discovery,
+    Fleet,
+    Control,
+    Asker(usize),
     Line(usize),
     Client(usize),
     Listener,
@@ -80,6 +91,9 @@
     pub lines: Slab<Line>,
     pub watch: Watch,
     pub alarms: Alarms,
+    /// The tie to the other routers; none where there is no talk.
+    pub link: Option<Link>,
+    pub control: Control,
     pub counters: Counters,
     /// What is known of the shapes of statements; keeps to its own budget of bytes.
     pub book: Book,
@@ -132,6 +146,8 @@
             lines: Slab::new(),
             watch: Watch::new(discovery),
             alarms: Alarms::default(),
+            link: None,
+            control: Control::default(),
             counters: Counters::default(),
             book,
             strict_logged_at: 0.0,
@@ -179,12 +195,19 @@
 
     pub fn turn(&mut self) {
         self.now = self.clock.now();
+        self.fleet_parts();
         let mut ready = mem::take(&mut self.ready);
         ready.sort_unstable();
         ready.dedup();
         for party in ready {
             match party {
                 Party::Discovery => self.discovery_is_ready(),
+                Party::Fleet => {
+                    self.fleet_is_ready();
+                    self.fleet_parts();
+                }
+                Party::Control => self.control_is_ready(),
+                Party::Asker(asker) => self.asker_is_ready(asker),
                 Party::Line(line) => self.line_is_ready(line),
                 Party::Client(client) => self.client_is_ready(client),
                 Party::Listener => self.listener_is_ready(),
@@ -194,6 +217,8 @@
         while let Some(alarm) = self.alarms.due(self.now) {
             match alarm {
                 Alarm::Discovery => self.discovery_is_due(),
+                Alarm::Fleet => self.fleet_is_due(),
+                Alarm::Asker(asker) => self.asker_leaves(asker),
                 Alarm::Listener => {
                     self.crowd = None;
                     self.again(Party::Listener);
@@ -204,6 +229,7 @@
             self.carry_out();
         }
         self.carry_out();
+        self.fleet_after();
     }
 
     /// Does what the facade names, until it names nothing more.
--- /dev/null
+++ b/crates/ottersill/src/wire/fleet_side.rs
@@ -0,0 +1,227 @@
+//! The other members of the fleet: datagrams out and in, and what the module hears of the budgets. What may be spent is
+//! said by `ottersill-fleet`; nothing here decides.
+
+use std::io::ErrorKind;
+
+use ottersill_bylaws::fleet::Of;
+use ottersill_core::facade::News;
+use ottersill_fleet::fleet::{Event, Fleet};
+use ottersill_fleet::seal;
+use slog::{info, warn};
+use socket2::SockAddr;
+
+use crate::memory::alarms::Alarm;
+use crate::memory::link::{Course, Link};
+use crate::wire::exchange::{Exchange, Party};
+use crate::wire::socket;
+
+/// Datagrams read in one turn, so that a flood of them holds up no statement.
+const DATAGRAMS: usize = 64;
+/// Between two tries to have the member's address; seconds.
+const AGAIN: f64 = 0.5;
+
+impl Exchange {
+    /// Joins the fleet if the address is free.
+    fn fleet_join(&mut self) {
+        let Some(link) = &mut self.link else { return };
+        let listen = link.bylaws.listen;
+        let opened = socket::datagrams(listen).and_then(|socket| self.attend(socket, Party::Fleet));
+        let Some(link) = &mut self.link else { return };
+        match opened {
+            Ok((socket, token)) => {
+                link.join(self.now, socket, token);
+                info!(self.log, "joined the fleet"; "listen" => %listen);
+            }
+            Err(fault) => {
+                if matches!(link.course, Course::Barred { again_at } if again_at == 0.0) {
+                    warn!(self.log, "no part of the fleet's budgets: its address can't be had"; "listen" => %listen,
+                        "fault" => %fault);
+                }
+                link.course = Course::Barred { again_at: self.now + AGAIN };
+            }
+        }
+    }
+
+    pub fn fleet_is_ready(&mut self) {
+        let mut space = [0; seal::LONGEST];
+        for _ in 0..DATAGRAMS {
+            let Some(Link { course: Course::Joined { fleet, socket, .. }, .. }) = &mut self.link else {
+                return;
+            };
+            match socket::datagram(socket, &mut space) {
+                // Each by the clock as it is when it is read: what is granted counts from then.
+                Ok(Some(length)) => fleet.hear(self.clock.now(), &space[..length]),
+                Ok(None) => return self.fleet_after(),
+                // An earlier datagram found nobody; the next may be in order.
+                Err(e) if matches!(e.kind(), ErrorKind::ConnectionRefused | ErrorKind::Interrupted) => {}
+                Err(e) => {
+                    warn!(self.log, "fleet datagrams"; "fault" => %e);
+                    return self.fleet_after();
+                }
+            }
+        }
+        self.fleet_after();
+        self.again(Party::Fleet);
+    }
+
+    pub fn fleet_is_due(&mut self) {
+        let now = self.clock.now();
+        match self.link.as_mut().map(|link| &mut link.course) {
+            Some(Course::Barred { again_at }) if now >= *again_at => self.fleet_join(),
+            Some(Course::Joined { fleet, .. }) => fleet.tick(now),
+            _ => {}
+        }
+        self.fleet_after();
+    }
+
+    /// Sends what is to be sent, says what changed, and sets the alarm anew.
+    pub fn fleet_after(&mut self) {
+        let now = self.clock.now();
+        let Some(link) = &mut self.link else { return };
+        let (parcels, events) =
+            link.fleet().map_or_else(Default::default, |fleet| (fleet.parcels(), fleet.events()));
+        for event in &events {
+            link.note(now, event);
+        }
+        for parcel in parcels {
+            let at = link.address(&parcel.to).or(parcel.told);
+            if let (Some(at), Course::Joined { socket, .. }) = (at, &link.course) {
+                // One that is lost is asked for again.
+                let _ = socket.send_to(&parcel.datagram, &SockAddr::from(at));
+            }
+        }
+        self.alarms.clear(link.alarm.take());
+        let next = link.next_at();
+        if next.is_finite() {
+            link.alarm = Some(self.alarms.set(next, Alarm::Fleet));
+        }
+        for event in events {
+            self.fleet_logs(event);
+        }
+    }
+
+    fn fleet_logs(&self, event: Event) {
+        match event {
+            Event::Turned(turned) => {
+                info!(self.log, "member"; "member" => turned.process.name.as_str(),
+                    "incarnation" => turned.process.incarnation, "presence" => format!("{:?}", turned.presence));
+            }
+            Event::Keeps(true) => info!(self.log, "keeps the books of the fleet"),
+            Event::Keeps(false) => info!(self.log, "no longer keeps the books of the fleet"),
+            Event::Keeper(name) => info!(self.log, "asks for its parts"; "keeper" => name),
+            Event::Stands { key, standing } => {
+                info!(self.log, "part of a budget"; "budget" => self.budget_name(key.0),
+                    "subject" => self.subject_name(key.1), "standing" => format!("{standing:?}"));
+            }
+            Event::Stranger(process) => {
+                warn!(self.log, "a member whose file differs in what has to be alike"; "member" => process.name);
+            }
+            Event::SmallerWhole { key, own, used } => {
+                warn!(self.log, "another member's file has a smaller whole, which is gone by";
+                    "budget" => self.budget_name(key.0), "own" => own, "used" => used);
+            }
+            // Each is in the audit; in the log they would bury all else.
+            Event::Right { .. } => {}
+        }
+    }
+
+    pub fn budget_name(&self, id: u64) -> String {
+        let budget = self.link.as_ref().and_then(|link| link.bylaws.charter.budget(id));
+        budget.map_or_else(|| format!("{id:x}"), |budget| budget.name.clone())
+    }
+
+    /// The host that a label stands for, as far as it is known here.
+    pub fn subject_name(&self, label: u64) -> String {
+        if label == 0 {
+            return String::new();
+        }
+        let host = self.hosts.all.iter().find(|host| host.label == label);
+        host.map_or_else(|| format!("{label:x}"), |host| host.name.clone())
+    }
+
+    /// Tells the module what its parts are now, and the fleet what waits for more.
+    pub fn fleet_parts(&mut self) {
+        let Some(mut link) = self.link.take() else { return };
+        let now = self.clock.now();
+        link.parts.hosts.clear();
+        if link.key(Of::ExecutionsAtEachHost, "").is_some() {
+            for (index, host) in self.hosts.all.iter().enumerate() {
+                let Some(key) = link.key(Of::ExecutionsAtEachHost, &host.name) else { continue };
+                let waiting = self.facade.waiting(host.listed.group) as u64;
+                let units = link.fleet().map_or(0, |fleet| {
+                    fleet.expect(now, key);
+                    let units = fleet.right(now, key).0.saturating_sub(fleet.lingering(key));
+                    if waiting > 0 && !fleet.has(now, key) {
+                        fleet.want(now, key, waiting);
+                    }
+                    units
+                });
+                link.parts.hosts.push((index, units as f64));
+            }
+        }
+        link.parts.second_tries =
+            link.key(Of::SecondTries, "").map(|key| link.fleet().map_or(0.0, |fleet| fleet.tokens(now, key)));
+        self.facade.report(self.now, News::Parts(&link.parts));
+        let next = link.next_at();
+        self.alarms.clear(link.alarm.take());
+        if next.is_finite() {
+            link.alarm = Some(self.alarms.set(next, Alarm::Fleet));
+        }
+        self.link = Some(link);
+    }
+
+    /// Whether the fleet's budgets let an execution go out to that host now, and counts it if they do.
+    pub fn fleet_lets(&mut self, stmt: usize, host: usize) -> bool {
+        let now = self.clock.now();
+        let again = self.statements.get(stmt).is_some_and(|held| held.ran);
+        let Some(link) = &mut self.link else { return true };
+        let name = &self.hosts.all[host].name;
+        if again && !link.take(now, Of::SecondTries, "") {
+            return false;
+        }
+        link.take(now, Of::ExecutionsAtEachHost, name)
+    }
+
+    pub fn fleet_has(&mut self, of: Of) -> bool {
+        let now = self.clock.now();
+        self.link.as_mut().is_none_or(|link| link.take(now, of, ""))
+    }
+
+    /// An execution that was counted is over; `proved` if it is known to run no more.
+    pub fn fleet_ends(&mut self, host: usize, proved: bool) {
+        let now = self.clock.now();
+        if let Some(link) = &mut self.link {
+            link.put(now, Of::ExecutionsAtEachHost, &self.hosts.all[host].name, proved);
+        }
+    }
+
+    pub fn fleet_leaves(&mut self) {
+        let now = self.clock.now();
+        if let Some(fleet) = self.link.as_mut().and_then(Link::fleet) {
+            Fleet::leave(fleet, now);
+        }
+        self.fleet_after();
+    }
+
+    pub fn fleet_reloads(&mut self) {
+        let now = self.clock.now();
+        let Some(link) = &mut self.link else { return };
+        match link.reload(now) {
+            Ok(changed) => info!(self.log, "the fleet's file read again"; "changed" => changed.join(", ")),
+            Err(fault) => {
+                self.counters.reloads_failed += 1;
+                warn!(self.log, "the fleet's file not taken, all goes on as it was"; "fault" => fault);
+            }
+        }
+        self.fleet_after();
+    }
+}
+
+/// Joins the fleet, and answers operators about it; the error is one line for the operator.
+pub fn begin(exchange: &mut Exchange, link: Link) -> Result<(), String> {
+    exchange.link = Some(link);
+    exchange.control_opens()?;
+    exchange.fleet_join();
+    exchange.fleet_after();
+    Ok(())
+}
--- a/crates/ottersill/src/wire/host_side.rs
+++ b/crates/ottersill/src/wire/host_side.rs
@@ -1,6 +1,7 @@
 //! Hosts: the lines to them, and the executions and probes that these carry.
 
 use bytes::BytesMut;
+use ottersill_bylaws::fleet::Of;
 use ottersill_core::facade::News;
 use ottersill_core::interface::{Ending, Report, Role};
 use slog::info;
@@ -29,14 +30,25 @@
         let Some(held) = self.statements.get(stmt) else { return };
         self.counters.must(held.stage == Stage::Waiting, "a statement has one execution out at a time");
         let until = if time_out > 0.0 { held.gives_up_at.min(self.now + time_out) } else { held.gives_up_at };
+        if !self.fleet_lets(stmt, host) {
+            self.counters.fleet_refused += 1;
+            return self.tell_execution(stmt, host, Ending::NeverSent, 0.0, &Reply::default());
+        }
         self.counters.executions += 1;
         match self.give(host, Load::Statement(stmt), until) {
             Ok(line) => self.statements.pass(stmt, Stage::Executing(line), &mut self.counters),
-            Err(ending) => self.tell_execution(stmt, host, ending, 0.0, &Reply::default()),
+            Err(ending) => {
+                self.fleet_ends(host, true);
+                self.tell_execution(stmt, host, ending, 0.0, &Reply::default());
+            }
         }
     }
 
     pub fn probe(&mut self, host: usize) {
+        if !self.fleet_has(Of::Probes) {
+            self.counters.fleet_refused += 1;
+            return self.tell_probe(host, Ending::NeverSent, Report::default());
+        }
         self.counters.probes += 1;
         // The settings name no other time after which a host counts as not there.
         if let Err(ending) = self.give(host, Load::Probe, self.now + self.upkeep.connect) {
@@ -67,6 +79,10 @@
             self.counters.lines_wanting += 1;
             return Err(Ending::NeverSent);
         }
+        if !self.fleet_has(Of::NewConnections) {
+            self.counters.fleet_refused += 1;
+            return Err(Ending::NeverSent);
+        }
         let id = self.lines.vacant_key();
         let opened = socket::dial(dial).and_then(|socket| self.attend(socket, Party::Line(id)));
         let (socket, token) = opened.map_err(|fault| {
@@ -252,6 +268,8 @@
         match load {
             Some(Load::Statement(stmt)) => {
                 let held = self.statements.get(stmt);
+                let proved = !matches!(ending, Ending::TimedOut | Ending::Cancelled | Ending::Reset);
+                let ran = held.is_some() && !ending.never_ran() && ending != Ending::Completed;
                 let orphan = matches!(held.map(|held| held.stage), Some(Stage::Orphaned(_)));
                 if let Some(place) = held.and_then(|held| held.place) {
                     let only_reads = reply.note.role == Some(Role::Replica);
@@ -263,6 +281,10 @@
                         _ => {}
                     }
                 }
+                self.fleet_ends(host, proved);
+                if ran {
+                    self.statements.note_ran(stmt);
+                }
                 if orphan {
                     self.statements.pass(stmt, Stage::Vacant, &mut self.counters);
                 } else if ending == Ending::Completed {
--- a/crates/ottersill/src/wire/socket.rs
+++ b/crates/ottersill/src/wire/socket.rs
@@ -125,6 +125,23 @@
     Ok(socket)
 }
 
+/// A socket for datagrams at an address that nobody else has, nor can have while this one is open.
+pub fn datagrams(at: SocketAddr) -> io::Result<Socket> {
+    let socket = Socket::new(Domain::for_address(at), Type::DGRAM, Some(Protocol::UDP))?;
+    socket.set_nonblocking(true)?;
+    socket.bind(&at.into())?;
+    Ok(socket)
+}
+
+/// The next datagram, if one is there; what is longer than the space is cut off.
+pub fn datagram(mut socket: &Socket, space: &mut [u8]) -> io::Result<Option<usize>> {
+    match socket.read(space) {
+        Ok(length) => Ok(Some(length)),
+        Err(e) if e.kind() == ErrorKind::WouldBlock => Ok(None),
+        Err(e) => Err(e),
+    }
+}
+
 /// The next client, if one is there.
 pub fn accept(listener: &Socket) -> io::Result<Option<Socket>> {
     match listener.accept() {
--- a/crates/ottersill/tests/codec.rs
+++ b/crates/ottersill/tests/codec.rs
@@ -13,7 +13,7 @@
 use ottersill::wire::socket::Outbox;
 use ottersill::wire::statement::Text;
 use ottersill_core::interface::{Ending, Role, Standing};
-use ottersill_example::message;
+use ottersill_lab::store::message;
 use ottersill_statement::shape::{Key, scan};
 use rstest::rstest;
 
