--- a/Makefile
+++ b/Makefile
@@ -1,5 +1,5 @@
 # Build, test, lint and run; each target is one command that can be typed as well.
-.PHONY: build test lint run toy
+.PHONY: build test lint run toy fleet
 
 build:
 	cargo build --release --locked
@@ -18,3 +18,16 @@
 # The toy store and discovery that example/router.json names.
 toy: build
 	exec target/release/ottersill-lab serve
+
+# Three routers, a, b and c, that divide the budgets of deploy/fleet.textproto among them, until Ctrl-C.
+fleet: build
+	@umask 077; test -s target/fleet.key || head -c 32 /dev/urandom > target/fleet.key
+	@for each in a:7400 b:7401 c:7402; do \
+	    sed "s/toy-router/$${each%:*}/; s/127.0.0.1:7400/127.0.0.1:$${each#*:}/" example/router.json \
+	        > target/$${each%:*}.json; \
+	done
+	@trap 'kill $$a $$b $$c' INT TERM; \
+	NODE_CONFIG=target/a.json target/release/ottersill --fleet deploy/fleet.textproto & a=$$!; \
+	NODE_CONFIG=target/b.json target/release/ottersill --fleet deploy/fleet.textproto & b=$$!; \
+	NODE_CONFIG=target/c.json target/release/ottersill --fleet deploy/fleet.textproto & c=$$!; \
+	wait
--- a/crates/bylaws/src/fleet.rs
+++ b/crates/bylaws/src/fleet.rs
@@ -27,6 +27,7 @@
 struct Peer {
     name: String,
     at: String,
+    control: String,
 }
 
 #[derive(Deserialize)]
@@ -145,15 +146,21 @@
     let listen = if file.listen.is_empty() { own } else { Some(address("listen", &file.listen)?) };
     let listen =
         listen.ok_or_else(|| fault("listen", format!("{name:?} is no peer, so it needs its own address")))?;
-    let control = match file.control.as_str() {
+    let mut control = match file.control.as_str() {
         "" => None,
-        said => Some(address("control", said)?),
+        said => Some(("control".to_string(), address("control", said)?)),
     };
-    must(
-        control.is_none_or(|at| at.ip().is_loopback()),
-        "control",
-        "expected a loopback address: nobody signs in there",
-    )?;
+    for (index, peer) in file.peer.iter().enumerate().filter(|(_, peer)| !peer.control.is_empty()) {
+        let field = format!("peer[{index}].control");
+        let at = address(&field, &peer.control)?;
+        if peer.name == name && control.is_none() {
+            control = Some((field, at));
+        }
+    }
+    if let Some((field, at)) = &control {
+        must(at.ip().is_loopback(), field, "expected a loopback address: nobody signs in there")?;
+    }
+    let control = control.map(|(_, at)| at);
     must(!file.key_file.is_empty(), "key_file", "members have to prove who they are")?;
     let span = |field: &str, value: f64, least: f64, most: f64| {
         let reason = format!("expected {least} to {most} seconds, found {value}");
--- a/crates/bylaws/tests/refusals.rs
+++ b/crates/bylaws/tests/refusals.rs
@@ -50,6 +50,13 @@
 #[case::voter_twice("voter: \"c\"", "voter: \"b\"", 7, "voter[2]", "twice")]
 #[case::even_voters("voter: \"c\"\n", "\n", 5, "voter", "odd")]
 #[case::open_control("127.0.0.1:7421", "192.0.2.1:7421", 8, "control", "loopback")]
+#[case::open_control_of_a_peer(
+    "127.0.0.1:7412\"",
+    "127.0.0.1:7412\" control: \"192.0.2.1:1\"",
+    3,
+    "peer[1].control",
+    "loopback"
+)]
 #[case::no_key("key_file: \"fleet.key\"", "", 1, "key_file", "prove")]
 #[case::short_lease("lease_s: 2", "lease_s: 1", 11, "lease_s", "half as much again")]
 #[case::no_lease("lease_s: 2", "", 1, "lease_s", "0.2 to 60")]
@@ -83,7 +90,12 @@
     #[case] reason: &str,
 ) {
     assert!(GOOD.contains(from));
-    let fault = read(&GOOD.replacen(from, to, 1), "b", 2.0).expect_err("a bad file");
+    let text = if field.starts_with("peer[1].control") {
+        GOOD.replace("control: \"127.0.0.1:7421\"", "")
+    } else {
+        GOOD.to_string()
+    };
+    let fault = read(&text.replacen(from, to, 1), "b", 2.0).expect_err("a bad file");
     assert_eq!((fault.line, fault.field.as_str()), (line, field), "{fault}");
     assert!(fault.reason.contains(reason), "{fault}");
 }
--- a/crates/lab/src/rig.rs
+++ b/crates/lab/src/rig.rs
@@ -461,6 +461,33 @@
         })
     }
 
+    /// Plays a script to its end.
+    pub fn play(&mut self, steps: &[Step]) -> io::Result<()> {
+        let since = Instant::now();
+        for Step { at, what } in steps {
+            thread::sleep(Duration::from_secs_f64(*at).saturating_sub(since.elapsed()));
+            match what {
+                Fault::Start(index) => self.start(*index)?,
+                Fault::Kill(index) => self.kill(*index),
+                Fault::Stop(Some(index)) => self.stop(*index),
+                Fault::Stop(None) => self.keeper().into_iter().for_each(|keeper| self.stop(keeper)),
+                Fault::Continue(index) => self.go_on(*index),
+                Fault::Term(index) => drop(self.end(*index)),
+                Fault::Reload(index) => self.reload(*index),
+                Fault::Part(sides) => {
+                    let own = |index: usize| sides.len() + index;
+                    let of = |index: usize| sides.iter().position(|side| side.contains(&index));
+                    self.part(|index| of(index).unwrap_or(own(index)), false);
+                }
+                Fault::Cut(from, to) => self.weather(*from, *to, |weather| weather.cut = true),
+                Fault::Weather(weather) => self.all_weather(*weather),
+                Fault::Heal => self.all_weather(Weather::default()),
+                Fault::Load(counts) => self.load_at(counts, 8),
+            }
+        }
+        Ok(())
+    }
+
     /// Faults as the seed says for so long.
     pub fn storm(&mut self, seconds: f64) -> io::Result<()> {
         let mut rng = SmallRng::seed_from_u64(self.plan.seed);
@@ -507,6 +534,92 @@
     }
 }
 
+/// One line of a script: when, in seconds from its start, and what.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Step {
+    pub at: f64,
+    pub what: Fault,
+}
+
+#[derive(Clone, Debug, PartialEq)]
+pub enum Fault {
+    Start(usize),
+    Kill(usize),
+    /// SIGSTOP; nobody named is whoever keeps the books.
+    Stop(Option<usize>),
+    Continue(usize),
+    /// SIGTERM, and wait for the end.
+    Term(usize),
+    Reload(usize),
+    /// Nothing passes between the sides; who is in none is one of its own.
+    Part(Vec<Vec<usize>>),
+    /// Nothing passes from the one to the other.
+    Cut(usize, usize),
+    Weather(Weather),
+    Heal,
+    /// Clients of each router.
+    Load(Vec<usize>),
+}
+
+/// Reads a script: a line a step, `1.5 kill r2`, `2 stop keeper`, `2 part r0,r1 r2,r3`, `3 cut r0 r1`, `3 weather lost=0.1
+/// twice=0.1 delay=0.02`, `4 heal`, `5 start r2`, `5 term r1`, `6 load 4,0,40`. What is behind `#` is a comment. The
+/// error names the line.
+pub fn script(text: &str, routers: usize) -> Result<Vec<Step>, String> {
+    let router = |word: &str| {
+        let index = word.strip_prefix('r').and_then(|digits| digits.parse().ok());
+        index.filter(|index| *index < routers).ok_or_else(|| format!("no router is called {word:?}"))
+    };
+    let side = |word: &&str| word.split(',').map(router).collect::<Result<Vec<usize>, String>>();
+    let mut steps = Vec::new();
+    for (number, line) in text.lines().enumerate() {
+        let words: Vec<&str> = line.split('#').next().unwrap_or("").split_whitespace().collect();
+        let read = || -> Result<Option<Step>, String> {
+            let Some((at, words)) = words.split_first() else { return Ok(None) };
+            let at = at.parse::<f64>().ok().filter(|at| at.is_finite() && *at >= 0.0);
+            let at = at.ok_or("a step begins with its time in seconds")?;
+            let what = match words {
+                ["start", who] => Fault::Start(router(who)?),
+                ["kill", who] => Fault::Kill(router(who)?),
+                ["stop", "keeper"] => Fault::Stop(None),
+                ["stop", who] => Fault::Stop(Some(router(who)?)),
+                ["continue", who] => Fault::Continue(router(who)?),
+                ["term", who] => Fault::Term(router(who)?),
+                ["reload", who] => Fault::Reload(router(who)?),
+                ["part", sides @ ..] => Fault::Part(sides.iter().map(side).collect::<Result<_, _>>()?),
+                ["cut", from, to] => Fault::Cut(router(from)?, router(to)?),
+                ["weather", pairs @ ..] => Fault::Weather(weather(pairs)?),
+                ["heal"] => Fault::Heal,
+                ["load", counts] => {
+                    let counts = counts.split(',').map(str::parse).collect::<Result<Vec<usize>, _>>();
+                    Fault::Load(counts.map_err(|e| format!("load: {e}"))?)
+                }
+                _ => return Err(format!("no step is written {:?}", words.join(" "))),
+            };
+            Ok(Some(Step { at, what }))
+        };
+        steps.extend(read().map_err(|fault| format!("line {}: {fault}", number + 1))?);
+    }
+    steps.sort_by(|a, b| a.at.total_cmp(&b.at));
+    Ok(steps)
+}
+
+fn weather(pairs: &[&str]) -> Result<Weather, String> {
+    let mut weather = Weather::default();
+    for pair in pairs {
+        let (name, value) = pair.split_once('=').unwrap_or((pair, ""));
+        let value = value.parse::<f64>().ok().filter(|value| (0.0..=1.0).contains(value));
+        let value = value.ok_or_else(|| format!("{pair:?}: expected a number from 0 to 1"))?;
+        match name {
+            "lost" => weather.lost = value,
+            "twice" => weather.twice = value,
+            "delay" => weather.delay = value,
+            "held" => weather.held = value > 0.0,
+            _ => return Err(format!("no weather is called {name:?}")),
+        }
+    }
+    Ok(weather)
+}
+
 /// A second process under a router's name.
 pub struct Double {
     process: Child,
--- a/crates/ottersill/tests/fleet.rs
+++ b/crates/ottersill/tests/fleet.rs
@@ -242,6 +242,28 @@
     assert!(highest > 0.6 && highest <= 1.0);
 }
 
+#[test]
+fn a_script_plays_faults_at_their_times() {
+    use ottersill_lab::rig::script;
+    assert_eq!(script("1 kill r9", 4).expect_err("no such router"), "line 1: no router is called \"r9\"");
+    assert_eq!(
+        script("\n# so\nsoon heal", 4).expect_err("no time"),
+        "line 3: a step begins with its time in seconds"
+    );
+    let steps = script(
+        "0 load 6,6,6,6\n1 weather lost=0.1 twice=0.1 delay=0.01\n1.5 stop keeper # for longer than its lease\n\
+         3 part r0,r1 r2,r3\n4 heal\n4 continue r0\n4 continue r1\n4 continue r2\n4.2 kill r3\n4.3 start r3\n\
+         4.4 term r1\n4.5 start r1\n4.6 cut r0 r2\n5.5 heal",
+        4,
+    );
+    let mut rig = rig(Plan { routers: 4, ..Plan::default() });
+    sleep(1.5);
+    rig.play(&steps.expect("a script")).expect("played");
+    assert!(rig.until(|rig| (0..4).all(|index| rig.holds(index, EXECUTIONS) > 0)));
+    assert!(rig.rest().iter().all(|answered| answered.wrong == 0));
+    clean(&rig);
+}
+
 /// The audit has eyes: what the routers wrote, as it would be with the lease not waited out, is found.
 #[test]
 fn a_lease_that_is_not_waited_out_is_found_by_the_audit() {
