--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -33,6 +33,8 @@
     Ask(Ask),
     /// Plays schedules of faults on routers that share budgets, and audits them.
     Fleet(Fleet),
+    /// Times statements through a router with talk and without, in turn.
+    Cost(Cost),
 }
 
 #[derive(Subcommand)]
@@ -69,6 +71,21 @@
     charter: PathBuf,
 }
 
+#[derive(Args)]
+struct Cost {
+    #[arg(long, default_value_t = 5)]
+    rounds: usize,
+    #[arg(long, default_value_t = 3)]
+    routers: usize,
+    /// Seconds a round.
+    #[arg(long, default_value_t = 3.0)]
+    seconds: f64,
+    #[arg(long)]
+    program: Option<PathBuf>,
+    #[arg(long, default_value = "example/router.json")]
+    charter: PathBuf,
+}
+
 fn main() -> ExitCode {
     let done = match Arguments::parse().command {
         Command::Serve => serve(),
@@ -80,6 +97,7 @@
             ask(&insert, "put")
         }
         Command::Fleet(fleet) => play(&fleet),
+        Command::Cost(cost) => time(&cost),
     };
     match done {
         Ok(()) => ExitCode::SUCCESS,
@@ -90,6 +108,64 @@
     }
 }
 
+/// Microseconds a statement of one client, and a router's CPU a second, with talk and without.
+fn time(cost: &Cost) -> io::Result<()> {
+    let beside = std::env::current_exe()?.with_file_name("ottersill");
+    let program = cost.program.clone().unwrap_or(beside);
+    let charter = std::fs::read_to_string(&cost.charter)?;
+    let mut rows = [Vec::new(), Vec::new()];
+    for round in 0..cost.rounds {
+        for (row, talk) in [true, false].into_iter().enumerate() {
+            let plan = Plan {
+                routers: cost.routers,
+                voters: cost.routers.min(3) | 1,
+                executions: 64,
+                probes: 1000,
+                work: 0.0,
+                talk,
+                seed: round as u64 + 1,
+                ..Plan::default()
+            };
+            let mut rig = Rig::new(plan, &program, &charter)?;
+            rig.start_all()?;
+            if !rig.until(|rig| (0..rig.routers.len()).all(|index| rig.is_ready(index))) {
+                return Err(io::Error::other("not all routers came up"));
+            }
+            std::thread::sleep(Duration::from_secs_f64(4.0));
+            let idle = rig.cpu(1);
+            std::thread::sleep(Duration::from_secs_f64(cost.seconds));
+            let idle = (rig.cpu(1) - idle) / cost.seconds;
+            let mut clients = vec![0; cost.routers];
+            clients[0] = 1;
+            rig.load_at(&clients, 0);
+            std::thread::sleep(Duration::from_secs_f64(cost.seconds));
+            let served = rig.rest()[0].completed;
+            let counts = rig.ask(1, "counts");
+            let of = |name: &str| counts.first().and_then(|line| line[name].as_f64()).unwrap_or(0.0);
+            let ran = 4.0 + 2.0 * cost.seconds;
+            rows[row].push([
+                cost.seconds * 1e6 / served.max(1) as f64,
+                idle * 1000.0,
+                of("sent") / ran,
+                of("sent_bytes") / ran,
+            ]);
+        }
+    }
+    for (name, row) in ["with talk", "without"].into_iter().zip(&mut rows) {
+        let figures = (0..4).map(|column| {
+            let mut all: Vec<f64> = row.iter().map(|figures| figures[column]).collect();
+            all.sort_by(f64::total_cmp);
+            format!("{:.1} ({:.1} to {:.1})", all[all.len() / 2], all[0], all[all.len() - 1])
+        });
+        let [statement, idle, sent, bytes] = <[String; 4]>::try_from(figures.collect::<Vec<_>>())
+            .map_err(|_| io::Error::other("four figures"))?;
+        println!(
+            "{name}: {statement} us a statement; idle {idle} ms CPU a second; sends {sent} datagrams, {bytes} bytes a second"
+        );
+    }
+    Ok(())
+}
+
 /// What all schedules together came to.
 #[derive(Default)]
 struct Sum {
--- a/crates/lab/src/rig.rs
+++ b/crates/lab/src/rig.rs
@@ -43,6 +43,10 @@
     pub hold: f64,
     /// How long a statement's work takes; seconds.
     pub work: f64,
+    /// Without it routers know nothing of each other.
+    pub talk: bool,
+    /// Further words of each router's command line.
+    pub words: Vec<String>,
 }
 
 impl Default for Plan {
@@ -61,6 +65,8 @@
             floor_lease: 3.0,
             hold: 2.0,
             work: 0.02,
+            talk: true,
+            words: Vec::new(),
         }
     }
 }
@@ -230,7 +236,10 @@
         let log =
             fs::OpenOptions::new().create(true).append(true).open(self.folder.join(format!("{name}.log")))?;
         let mut command = Command::new(&self.program);
-        command.arg("--fleet").arg(fleet).env("NODE_CONFIG", charter);
+        command.args(&self.plan.words).env("NODE_CONFIG", charter);
+        if self.plan.talk {
+            command.arg("--fleet").arg(fleet);
+        }
         command.stdin(Stdio::null()).stdout(log.try_clone()?).stderr(log).spawn()
     }
 
@@ -438,6 +447,13 @@
         Ok(verdict)
     }
 
+    /// Seconds of processor time that a router has used, as the kernel counts them for it.
+    pub fn cpu(&self, index: usize) -> f64 {
+        let Some(process) = &self.routers[index].process else { return 0.0 };
+        let text = fs::read_to_string(format!("/proc/{}/schedstat", process.id())).unwrap_or_default();
+        text.split(' ').next().and_then(|nanos| nanos.parse::<f64>().ok()).unwrap_or(0.0) / 1e9
+    }
+
     pub fn log(&self, index: usize) -> String {
         fs::read_to_string(self.folder.join(format!("r{index}.log"))).unwrap_or_default()
     }
--- a/crates/ottersill/src/command/mod.rs
+++ b/crates/ottersill/src/command/mod.rs
@@ -5,6 +5,8 @@
 
 use clap::{Parser, Subcommand};
 
+use crate::lifecycle::log;
+
 /// Routes reads and writes in a replicated store. Without a command: runs the router as the file tells that NODE_CONFIG names.
 #[derive(Parser)]
 #[command(version, about)]
@@ -12,6 +14,9 @@
     /// The fleet's file, in protobuf text format: budgets divided among routers that talk. Without it there is no talk.
     #[arg(long, value_name = "FILE")]
     fleet: Option<String>,
+    /// How the log is written.
+    #[arg(long, value_enum, default_value_t)]
+    log: log::Form,
     #[command(subcommand)]
     command: Option<Command>,
 }
@@ -27,7 +32,7 @@
 /// Does what the command line asks for; the error is one line for whoever typed it.
 pub fn run(arguments: Arguments) -> Result<(), String> {
     match arguments.command {
-        None => crate::lifecycle::serve::run(arguments.fleet.as_deref()),
+        None => crate::lifecycle::serve::run(arguments.fleet.as_deref(), arguments.log),
         Some(Command::Explain(arguments)) => explain::run(&arguments),
         Some(Command::Fleet(arguments)) => fleet::run(&arguments),
     }
--- a/crates/ottersill/src/lifecycle/log.rs
+++ b/crates/ottersill/src/lifecycle/log.rs
@@ -13,8 +13,19 @@
 /// Lines that may wait; at a hundred bytes or two each they take no room to speak of.
 const WAITING: usize = 2000;
 
+/// How a line is written.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, clap::ValueEnum)]
+pub enum Form {
+    /// Time, level, message, then `key=value`.
+    #[default]
+    Plain,
+    /// An object a line.
+    Json,
+}
+
 #[derive(Clone, Default)]
 pub struct Log {
+    form: Form,
     waiting: Arc<Mutex<Waiting>>,
 }
 
@@ -44,17 +55,41 @@
             return Ok(());
         }
         let unix = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_secs_f64();
-        let mut line = format!("{unix:.3} {} {}", record.level().as_short_str(), record.msg());
-        // A value that can't be written is left out.
-        let _ = slog::KV::serialize(&record.kv(), record, &mut Pairs(&mut line));
-        let _ = slog::KV::serialize(fixed, record, &mut Pairs(&mut line));
-        line.push('\n');
-        waiting.lines.push_back(line);
+        waiting.lines.push_back(match self.form {
+            Form::Plain => plain(unix, record, fixed),
+            Form::Json => object(unix, record, fixed),
+        });
         Ok(())
     }
 }
 
+fn plain(unix: f64, record: &Record, fixed: &OwnedKVList) -> String {
+    let mut line = format!("{unix:.3} {} {}", record.level().as_short_str(), record.msg());
+    // A value that can't be written is left out.
+    let _ = slog::KV::serialize(&record.kv(), record, &mut Pairs(&mut line));
+    let _ = slog::KV::serialize(fixed, record, &mut Pairs(&mut line));
+    line.push('\n');
+    line
+}
+
+fn object(unix: f64, record: &Record, fixed: &OwnedKVList) -> String {
+    let mut line = Vec::new();
+    let json = slog_json::Json::new(&mut line);
+    let at = (unix * 1000.0).round() / 1000.0;
+    let keys = o!("message" => slog::PushFnValue(|record: &Record, serial| serial.emit(record.msg())),
+        "level" => slog::FnValue(|record: &Record| record.level().as_str()), "at" => at);
+    let json = json.set_newlines(true).add_key_value(keys).build();
+    // A line that can't be written is left out; nothing that is logged here is of that kind.
+    let _ = json.log(record, fixed);
+    drop(json);
+    String::from_utf8_lossy(&line).into_owned()
+}
+
 impl Log {
+    pub fn new(form: Form) -> Log {
+        Log { form, ..Log::default() }
+    }
+
     pub fn logger(&self, name: &str) -> Logger {
         Logger::root(self.clone().fuse(), o!("router" => name.to_string()))
     }
--- a/crates/ottersill/src/lifecycle/serve.rs
+++ b/crates/ottersill/src/lifecycle/serve.rs
@@ -8,7 +8,7 @@
 use slog::info;
 
 use crate::lifecycle::charter::{self, Charter};
-use crate::lifecycle::log::Log;
+use crate::lifecycle::log::{Form, Log};
 use crate::lifecycle::reload::Reload;
 use crate::memory::link::Link;
 use crate::wire::exchange::{Exchange, Party};
@@ -34,8 +34,8 @@
 }
 
 /// `fleet` names the file of the fleet, where routers talk.
-pub fn run(fleet: Option<&str>) -> Result<(), String> {
-    let log = Log::default();
+pub fn run(fleet: Option<&str>, form: Form) -> Result<(), String> {
+    let log = Log::new(form);
     serve(charter::find()?, fleet, &log)
 }
 
--- a/crates/ottersill/tests/fleet.rs
+++ b/crates/ottersill/tests/fleet.rs
@@ -288,6 +288,21 @@
     assert!(!audit(&rig.entries().expect("audit files"), &halved.collect()).faults.is_empty());
 }
 
+#[test]
+fn log_lines_are_objects_where_asked_for() {
+    let words = ["--log", "json"].map(String::from).to_vec();
+    let rig = rig(Plan { routers: 3, words, ..Plan::default() });
+    assert!(rig.until(|rig| rig.keeper().is_some()));
+    let keeper = rig.keeper().expect("a keeper");
+    assert!(rig.until(|rig| rig.log(keeper).contains("keeps the books")));
+    let log = rig.log(keeper);
+    let lines: Vec<serde_json::Value> =
+        log.lines().map(|line| serde_json::from_str(line).expect("an object")).collect();
+    let member = lines.iter().find(|line| line["message"] == "member").expect("a member");
+    assert_eq!(member["router"], format!("r{keeper}"));
+    assert!(member["at"].as_f64() > Some(1.7e9) && member["member"].is_string(), "{member}");
+}
+
 #[test]
 fn a_key_that_others_can_read_is_refused() {
     use std::os::unix::fs::PermissionsExt;
