--- a/crates/lab/src/rig.rs
+++ b/crates/lab/src/rig.rs
@@ -153,11 +153,11 @@
             fs::OpenOptions::new().create(true).truncate(true).write(true).mode(0o600).open(&key)?;
         file.write_all(b"known to the members of this rig only")?;
         let mut routers = Vec::new();
-        for index in 0..plan.routers {
+        for (index, wires) in wires.iter().enumerate() {
             let name = format!("r{index}");
             let (listen, control, at) = (vacant(own, false)?, vacant(own, false)?, vacant(own, true)?);
             // For as long as the process lives, as the toy's threads do.
-            let dials: &'static [SocketAddr] = wires[index].iter().map(Wire::at).collect::<Vec<_>>().leak();
+            let dials: &'static [SocketAddr] = wires.iter().map(Wire::at).collect::<Vec<_>>().leak();
             let discovery = toy.discovery_by(&format!("{own}:0"), dials)?;
             let text = charter
                 .replace("\"toy-router\"", &format!("\"{name}\""))
