A budget for cold hosts, routers counted as the fleet knows them, probes paid for by fewer statements

Change: EXECUTIONS_AT_EACH_COLD_HOST, in place of each router's lots where the fleet talks; 'routers' follows the members that are there; the first round is paid for by FEW / routers of a probe a host; a probe takes eight statements in place of four.

--- a/crates/bylaws/src/fleet.rs
+++ b/crates/bylaws/src/fleet.rs
@@ -48,9 +48,15 @@
     SecondTries,
     Probes,
     NewConnections,
+    ExecutionsAtEachColdHost,
 }
 
 impl Of {
+    /// Whether there is one budget of it for each host.
+    pub fn of_each_host(self) -> bool {
+        matches!(self, Of::ExecutionsAtEachHost | Of::ExecutionsAtEachColdHost)
+    }
+
     pub fn name(self) -> &'static str {
         match self {
             Of::Unknown => "unknown",
@@ -58,6 +64,7 @@
             Of::SecondTries => "second tries",
             Of::Probes => "probes",
             Of::NewConnections => "new connections",
+            Of::ExecutionsAtEachColdHost => "executions at each cold host",
         }
     }
 }
--- a/crates/core/src/decide.rs
+++ b/crates/core/src/decide.rs
@@ -1,6 +1,5 @@
-//! The decisions of ottersill: which member runs a statement, when it waits, when it is given up. Build a
-//! [`Router`] with `start`, then call the rest as things happen, with a clock in seconds; it answers by the
-//! `Front` it is lent. The types are in `interface.rs`, the router's records in `state.rs`.
+//! The decisions of ottersill: which member runs a statement, when it waits, when it is given up. Types are
+//! in `interface.rs`, records in `state.rs`; the `Front` that a [`Router`] is lent carries out decisions.
 
 use std::collections::BTreeMap;
 use std::hash::{DefaultHasher, Hash, Hasher};
@@ -13,7 +12,7 @@
 /// Between probes where the next answer decides something: no primary, a suspect, a position about to age.
 const POLL_SOON: f64 = 0.25;
 /// Probes that a statement pays for: what is told of a member is worth as much as is asked of it.
-const PROBES: f64 = 0.25;
+const PROBES: f64 = 0.12;
 /// Between two looks at what waits and what is silent; well under any SLO time, too rare to cost anything.
 const BEAT: f64 = 0.02;
 /// How long a read that finds no fresh replica waits before it takes the primary.
@@ -23,7 +22,7 @@
 const TIGHT: f64 = 0.5;
 /// Executions in flight on a member nothing is known of yet, from all routers.
 const FIRST_LIMIT: f64 = 20.0;
-/// In flight from all routers, where slow answers tell of the member or the statement and not of a crowd.
+/// In flight from all routers, where slow answers tell of the member or the statement, not of a crowd.
 const FEW: f64 = 8.0;
 /// Part of the primary's limit that reads may fill; the rest is kept for writes.
 const READS_ON_PRIMARY: f64 = 0.5;
@@ -63,10 +62,10 @@
     held: Vec<Held>,
     /// Statements each tenant may still send within its share, as of when.
     shares: Vec<(f64, f64)>,
-    /// Last write of each session, where sessions are remembered; emptied once all the group has it.
+    /// Last write of each session, where these are remembered; emptied once all the group has it.
     marks: BTreeMap<u64, (f64, usize)>,
     second_tries: f64,
-    /// Probes paid for and not sent yet.
+    /// Probes paid for.
     probes: f64,
     called_at: f64,
     /// When it last came back from a stall of its own.
@@ -75,7 +74,6 @@
     bound: Option<f64>,
     list_is_due: bool,
     draws: u64,
-    /// The group that is looked at on this beat though nothing waits there.
     turn: usize,
 }
 
@@ -86,7 +84,6 @@
         (since / (since + TRIAL)).clamp(LEARN, 0.5)
     }
 
-    /// The part of it that is free, as far as its word on that is new.
     fn spare(&self, now: f64) -> f64 {
         (1.0 - self.busy * (-(now - self.busy_at) / WORTH).exp()).max(0.05)
     }
@@ -112,7 +109,7 @@
         let usual = (0.0, 0);
         let row =
             |w: Workload| Row { typical: Router::typical(&w), terms: w, usual, may_return: 0.0, work: 0.0 };
-        // Behind the workloads their twins, whose terms hold for a text that may write, whatever its name.
+        // Behind the workloads their twins, for a text that may write, whatever its name.
         let (needs, effect) = (Needs::Primary, Effect::NonIdempotent);
         let twins = terms.workloads.iter().map(|w| Workload { needs, effect, ..w.clone() });
         let router = Router {
@@ -142,7 +139,6 @@
         workload.slo_time / 6.0
     }
 
-    /// The row of the terms for a statement: its workload's, or the twin of that.
     fn row_of(&self, workload: usize, writes: bool) -> usize {
         let count = self.terms.workloads.len();
         let reads = workload < count && self.rows[workload].terms.needs != Needs::Primary;
@@ -167,7 +163,6 @@
         let worth = if returned { 0.0 } else { row.terms.importance };
         let slo_left = if row.terms.late_share > 0.0 { f64::INFINITY } else { row.terms.slo_time - passed };
         let left = stmt.time_left.min(slo_left);
-        // What its shape takes over the usual, as far as that is believed.
         let more = stmt.work.map_or(0.0, |w| (1.0 - w.spread / VAGUE).max(0.0) * (w.own - w.usual));
         let typical = row.takes(more);
         let start_by = now + (left - ENOUGH * typical).max((left - HASTE * typical).min(BEAT / 10.0));
@@ -290,9 +285,10 @@
         let first_limit = (FIRST_LIMIT / self.terms.routers as f64).max(2.0);
         for listed in list {
             if listed.host == self.members.len() {
-                // Spread over a second, unless a statement waits: all routers may start at once.
                 let probed_at = now - POLL * self.odds(self.draws, listed.host);
                 self.members.push(Member { probed_at, load: EASY, limit: first_limit, ..Member::default() });
+                // Hundreds that start at once ask where they are asked; a few ask each host.
+                self.probes += (FEW / self.terms.routers as f64).min(1.0);
                 self.group(listed.group).members.push(listed.host);
             }
             let m = &mut self.members[listed.host];
@@ -316,11 +312,18 @@
 
     /// What the fleet leaves this router of its budgets, where there is talk: bounds beside its reckoning.
     pub fn parts(&mut self, now: f64, parts: &Parts, front: &mut impl Front) {
-        parts.hosts.iter().for_each(|(host, units)| self.members[*host].units = Some(*units));
+        for part in &parts.hosts {
+            (self.members[part.host].units, self.members[part.host].tokens) = (part.units, part.tokens);
+        }
+        self.terms.routers = parts.routers.unwrap_or(self.terms.routers);
         self.second_tries = parts.second_tries.unwrap_or(self.second_tries);
         (0..self.groups.len()).for_each(|group| self.place_waiting(now, group, front));
     }
 
+    pub fn is_cold(&self, now: f64, host: usize) -> bool {
+        self.part(now, &self.members[host]) < 1.0
+    }
+
     pub fn waiting(&self, group: usize) -> usize {
         self.groups.get(group).map_or(0, |group| group.waiting.len())
     }
@@ -550,14 +553,12 @@
         &self.rows[held.stmt.workload].terms
     }
 
-    /// A lot from 0 to 1, the same for the same counter.
     fn odds(&self, counter: u64, host: usize) -> f64 {
         let mut hasher = DefaultHasher::new();
         (self.terms.seed, counter, host).hash(&mut hasher);
         hasher.finish() as f64 / u64::MAX as f64
     }
 
-    /// The position a replica must have for this read, if sent at `now`.
     fn needed(&self, now: f64, held: &Held) -> f64 {
         match self.terms_of(held).needs {
             Needs::Primary | Needs::Fresh => f64::INFINITY,
@@ -615,8 +616,9 @@
     fn cold_allows(&self, now: f64, host: usize, held: &Held) -> bool {
         let m = &self.members[host];
         let part = self.part(now, m);
-        if part >= 1.0 {
-            return true;
+        // Where the fleet has a budget for it, that goes before any lot.
+        if part >= 1.0 || m.tokens.is_some() {
+            return m.tokens.is_none_or(|tokens| part >= 1.0 || tokens >= 1.0);
         }
         let group = &self.groups[m.listed.group];
         let size = |host: &usize| self.members[*host].listed.size;
@@ -749,7 +751,6 @@
                     m.limit = (m.limit * (1.0 - weight / 2.0)).max(few);
                 }
             }
-            // Failing fast must not look like being idle.
             Ending::Error | Ending::Full | Ending::TimedOut | Ending::Cancelled => {
                 m.load += lost * (share.max(1.0) - m.load);
                 // Full with no more than this of ours: a limit beyond that means nothing.
@@ -781,7 +782,7 @@
         }
         silence.retain(|_, (sum, count)| *sum > SILENCE && *count > 1.0);
         let silent: Vec<usize> = silence.into_keys().collect();
-        // Where most members are silent at once, the judgement or the router's own link is at fault.
+        // Where most are silent at once, the judgement or the router's own link is at fault.
         if 2 * silent.len() <= self.members.len() {
             silent.into_iter().for_each(|host| self.suspect(now, host, false));
         }
--- a/crates/core/src/facade.rs
+++ b/crates/core/src/facade.rs
@@ -182,6 +182,11 @@
         std::mem::take(&mut self.desk.due)
     }
 
+    /// Whether a host is taken for one that is not warm yet.
+    pub fn is_cold(&self, now: f64, host: usize) -> bool {
+        self.router.is_cold(now, host)
+    }
+
     /// Statements that wait in a group for a member that may take them.
     pub fn waiting(&self, group: usize) -> usize {
         self.router.waiting(group)
--- a/crates/core/src/interface.rs
+++ b/crates/core/src/interface.rs
@@ -206,11 +206,22 @@
     pub started_at: Option<f64>,
 }
 
+/// What this router may use of the fleet's budgets at a host; nothing where there is no such budget.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Part {
+    pub host: usize,
+    /// Executions that it may have out there.
+    pub units: Option<f64>,
+    /// Executions that it may send there now while the host is cold.
+    pub tokens: Option<f64>,
+}
+
 /// This router's parts of the fleet's budgets, as they are now.
 #[derive(Clone, Debug, Default)]
 pub struct Parts {
-    /// Executions that it may have out at each host of which a part is known.
-    pub hosts: Vec<(usize, f64)>,
+    pub hosts: Vec<Part>,
+    /// Routers that are there, as the fleet knows them.
+    pub routers: Option<usize>,
     /// Second tries that it may send now, where there is a budget for these.
     pub second_tries: Option<f64>,
 }
--- a/crates/core/src/state.rs
+++ b/crates/core/src/state.rs
@@ -85,6 +85,8 @@
     pub in_flight: usize,
     /// Executions that this router may have out there, where the fleet divides a budget for it.
     pub units: Option<f64>,
+    /// Executions that it may send there now while the host is cold, where the fleet has a budget for that.
+    pub tokens: Option<f64>,
     pub limit: f64,
     /// Mean time of answers as a part of their SLO time.
     pub load: f64,
--- a/crates/core/tests/rarely_heard.rs
+++ b/crates/core/tests/rarely_heard.rs
@@ -240,7 +240,9 @@
 #[test]
 fn a_part_of_the_fleet_s_budget_bounds_what_is_out() {
     let mut world = World::settled(true, [0.0; 3]);
-    let parts = |units: f64| Parts { hosts: (0..4).map(|host| (host, units)).collect(), second_tries: None };
+    let part = |host: usize, units: f64| Part { host, units: Some(units), tokens: None };
+    let parts =
+        |units: f64| Parts { hosts: (0..4).map(|host| part(host, units)).collect(), ..Parts::default() };
     world.router.parts(world.now, &parts(1.0), &mut world.book);
     let asked: Vec<usize> = (0..9).map(|_| world.ask(READ)).collect();
     let out = asked.iter().filter(|stmt| !world.sent_to(**stmt).is_empty()).count();
@@ -249,3 +251,25 @@
     world.router.parts(world.now, &parts(3.0), &mut world.book);
     assert!(world.router.waiting(0) < 9 - out, "what waits goes out once there is more");
 }
+
+/// Where the fleet has a budget for cold hosts, that goes before the lots: none is sent without a unit, and each unit is used.
+#[test]
+fn a_cold_host_gets_what_the_fleet_has_for_it() {
+    let mut world = World::settled(true, [0.0; 3]);
+    world.list(1, Standing::Ready, Some(world.now - 1.0));
+    assert!(world.router.is_cold(world.now, 1) && !world.router.is_cold(world.now, 2));
+    let hand_over = |world: &mut World, tokens: f64| {
+        let hosts = vec![Part { host: 1, units: None, tokens: Some(tokens) }];
+        let parts = Parts { hosts, routers: Some(4), second_tries: None };
+        world.router.parts(world.now, &parts, &mut world.book);
+    };
+    hand_over(&mut world, 0.0);
+    for _ in 0..40 {
+        let read = world.ask(READ);
+        assert_ne!(world.sent_to(read).last(), Some(&1));
+        end(&mut world, read, Ending::Completed, 0.01);
+    }
+    hand_over(&mut world, 1.0);
+    let read = world.ask(READ);
+    assert_eq!(world.sent_to(read).last(), Some(&1));
+}
--- a/crates/fleet/src/purse.rs
+++ b/crates/fleet/src/purse.rs
@@ -45,6 +45,8 @@
     wanted: f64,
     peak: f64,
     recent: f64,
+    /// Units that something waits for, until the next question.
+    least: u64,
     looked_at: f64,
     /// Questions up to this one were an earlier purse's: their answers may speak of rights that are on no books.
     since_nonce: u64,
@@ -68,6 +70,7 @@
             wanted: 0.0,
             peak: 0.0,
             recent: 0.0,
+            least: 0,
             looked_at: now,
             since_nonce,
             short: 0,
@@ -161,6 +164,7 @@
     /// Something waits for a unit that this purse has not; asks for as many as that.
     pub fn want(&mut self, units: u64) {
         self.short = self.short.max(units);
+        self.least = self.least.max(units);
         self.peak = self.peak.max((self.in_use() + units) as f64);
     }
 
@@ -200,7 +204,7 @@
             (self.wanted, self.peak, self.looked_at) = (0.0, self.in_use() as f64, now);
         }
         self.short = 0;
-        let asked = self.recent.max(self.in_use() as f64);
+        let asked = self.recent.max((self.in_use() + std::mem::take(&mut self.least)) as f64);
         if asked < 0.01 { 0 } else { (asked * ROOM).max(asked.ceil()) as u64 }
     }
 
--- a/crates/lab/src/audit.rs
+++ b/crates/lab/src/audit.rs
@@ -88,7 +88,7 @@
     let mut processes = BTreeSet::new();
     type Holders = BTreeMap<(String, u64), Holder>;
     let mut budgets: BTreeMap<(String, u64), Holders> = BTreeMap::new();
-    let mut spends: BTreeMap<String, Vec<f64>> = BTreeMap::new();
+    let mut spends: BTreeMap<(String, u64), Vec<f64>> = BTreeMap::new();
     for entry in entries {
         processes.insert((entry.process.clone(), entry.incarnation));
         let Some(whole) = wholes.get(&entry.budget).copied() else {
@@ -117,7 +117,7 @@
                             .push(format!("{:.4}: {name:?} takes beyond its right: {entry:?}", entry.at));
                     }
                 } else {
-                    spends.entry(entry.budget.clone()).or_default().push(entry.at);
+                    spends.entry((entry.budget.clone(), entry.subject)).or_default().push(entry.at);
                     if holder.right(entry.at) == 0 {
                         verdict
                             .faults
@@ -140,7 +140,7 @@
             verdict.faults.push(format!("{:.4}: {} has {sum} of {}", entry.at, entry.budget, whole.units()));
         }
     }
-    for (budget, times) in &spends {
+    for ((budget, _), times) in &spends {
         if let Some(Whole::Rate { units, every }) = wholes.get(budget) {
             for (first, from) in times.iter().enumerate() {
                 for (last, to) in times.iter().enumerate().skip(first).step_by(1 + times.len() / 400) {
--- a/crates/lab/src/rig.rs
+++ b/crates/lab/src/rig.rs
@@ -35,6 +35,8 @@
     pub executions: u64,
     pub probes: u64,
     pub second_tries: u64,
+    /// Executions a second at each cold host.
+    pub cold: u64,
     pub floor: u64,
     /// Seconds.
     pub keeper_lease: f64,
@@ -59,6 +61,7 @@
             executions: 12,
             probes: 200,
             second_tries: 20,
+            cold: 20,
             floor: 1,
             keeper_lease: 0.6,
             lease: 1.2,
@@ -208,7 +211,8 @@
              keeper_lease_s: {}\nlease_s: {}\nfloor_lease_s: {}\ndrift: 0.01\nmembers_at_most: {}\n\
              budget {{ of: EXECUTIONS_AT_EACH_HOST whole: {executions} floor: {} hold_s: {} }}\n\
              budget {{ of: PROBES whole: {} every_s: 1 }}\n\
-             budget {{ of: SECOND_TRIES whole: {} every_s: 1 }}\n",
+             budget {{ of: SECOND_TRIES whole: {} every_s: 1 }}\n\
+             budget {{ of: EXECUTIONS_AT_EACH_COLD_HOST whole: {} every_s: 1 }}\n",
             me.at,
             me.control,
             me.name,
@@ -219,7 +223,8 @@
             plan.floor,
             plan.hold,
             plan.probes,
-            plan.second_tries
+            plan.second_tries,
+            plan.cold
         );
         fs::write(&me.fleet, text)
     }
@@ -445,6 +450,7 @@
             ),
             ("probes".to_string(), Whole::Rate { units: plan.probes, every: 1.0 }),
             ("second tries".to_string(), Whole::Rate { units: plan.second_tries, every: 1.0 }),
+            ("executions at each cold host".to_string(), Whole::Rate { units: plan.cold, every: 1.0 }),
         ])
     }
 
--- a/crates/lab/src/store.rs
+++ b/crates/lab/src/store.rs
@@ -58,6 +58,8 @@
     /// Whether it writes, whatever its conduct.
     primary: bool,
     health: &'static str,
+    /// When it started, as discovery tells it; Unix milliseconds, zero for long ago.
+    born_ms: u128,
     /// Statements that came in whole.
     taken: Vec<String>,
     /// Executions that are under way, and the most that ever were at once.
@@ -112,6 +114,7 @@
             conduct,
             primary: number == 0,
             health: "active",
+            born_ms: 0,
             taken: Vec::new(),
             under_way: 0,
             most: 0,
@@ -152,6 +155,14 @@
         self.changed.notify_all();
     }
 
+    /// Discovery says from now on that the host has just started.
+    pub fn set_born(&self, host: usize) {
+        let mut state = self.lock();
+        state.hosts[host].born_ms = unix_ms();
+        state.seq += 1;
+        self.changed.notify_all();
+    }
+
     /// Discovery takes calls and answers none.
     pub fn silence_discovery(&self, silent: bool) {
         self.lock().silent_discovery = silent;
@@ -368,9 +379,10 @@
 fn list_of(state: &State, dials: &[SocketAddr]) -> String {
     let entry = |(number, host): (usize, &Host)| {
         let (at, health) = (dials.get(number).copied().unwrap_or(host.at), host.health);
+        let born = host.born_ms;
         format!(
             "{{\"host\":\"toy-{number}\",\"dial\":\"{at}\",\"site\":\"here\",\"class\":\"toy\",\"block\":1,\
-             \"health\":\"{health}\",\"share\":1.0,\"born_ms\":0}}"
+             \"health\":\"{health}\",\"share\":1.0,\"born_ms\":{born}}}"
         )
     };
     let hosts: Vec<String> = state.hosts.iter().enumerate().map(entry).collect();
--- a/crates/ottersill/src/memory/link.rs
+++ b/crates/ottersill/src/memory/link.rs
@@ -123,7 +123,7 @@
     /// The budget for that, if there is one, and its subject: a host's name, or nothing.
     pub fn key(&self, of: Of, subject: &str) -> Option<Key> {
         let index = self.bylaws.purposes.iter().position(|purpose| *purpose == of)?;
-        let subject = if of == Of::ExecutionsAtEachHost { label(subject) } else { 0 };
+        let subject = if of.of_each_host() { label(subject) } else { 0 };
         Some((self.bylaws.charter.budgets[index].id, subject))
     }
 
--- a/crates/ottersill/src/wire/fleet_side.rs
+++ b/crates/ottersill/src/wire/fleet_side.rs
@@ -5,7 +5,9 @@
 
 use ottersill_bylaws::fleet::Of;
 use ottersill_core::facade::News;
+use ottersill_core::interface::Part;
 use ottersill_fleet::fleet::{Event, Fleet};
+use ottersill_fleet::members::Presence;
 use ottersill_fleet::seal;
 use slog::{info, warn};
 use socket2::SockAddr;
@@ -144,21 +146,38 @@
         let Some(mut link) = self.link.take() else { return };
         let now = self.clock.now();
         link.parts.hosts.clear();
-        if link.key(Of::ExecutionsAtEachHost, "").is_some() {
-            for (index, host) in self.hosts.all.iter().enumerate() {
-                let Some(key) = link.key(Of::ExecutionsAtEachHost, &host.name) else { continue };
-                let waiting = self.facade.waiting(host.listed.group) as u64;
-                let units = link.fleet().map_or(0, |fleet| {
+        let in_hand = self.statements.in_hand();
+        for (index, host) in self.hosts.all.iter().enumerate() {
+            let waiting = self.facade.waiting(host.listed.group) as u64;
+            let units = link.key(Of::ExecutionsAtEachHost, &host.name).map(|key| {
+                link.fleet().map_or(0, |fleet| {
                     fleet.expect(now, key);
-                    let units = fleet.right(now, key).0.saturating_sub(fleet.lingering(key));
                     if waiting > 0 && !fleet.has(now, key) {
                         fleet.want(now, key, waiting);
                     }
-                    units
-                });
-                link.parts.hosts.push((index, units as f64));
+                    fleet.right(now, key).0.saturating_sub(fleet.lingering(key))
+                })
+            });
+            // One budget a host that is cold; what a warm one had of it is given back when nobody asks for it.
+            let cold = self.facade.is_cold(self.now, index);
+            let key = link.key(Of::ExecutionsAtEachColdHost, &host.name).filter(|_| cold);
+            let tokens = key.map(|key| {
+                link.fleet().map_or(0.0, |fleet| {
+                    let tokens = fleet.tokens(now, key);
+                    // Nothing waits for a cold host as long as a warm one has room: who has traffic wants a part.
+                    if in_hand > 0 && tokens < 1.0 {
+                        fleet.want(now, key, 1);
+                    }
+                    tokens
+                })
+            });
+            let units = units.map(|units| units as f64);
+            if units.is_some() || tokens.is_some() {
+                link.parts.hosts.push(Part { host: index, units, tokens });
             }
         }
+        let here = |fleet: &mut Fleet| fleet.members().filter(|m| m.presence == Presence::Here).count();
+        link.parts.routers = link.fleet().map(here);
         link.parts.second_tries =
             link.key(Of::SecondTries, "").map(|key| link.fleet().map_or(0.0, |fleet| fleet.tokens(now, key)));
         self.facade.report(self.now, News::Parts(&link.parts));
@@ -179,7 +198,10 @@
         if again && !link.take(now, Of::SecondTries, "") {
             return false;
         }
-        link.take(now, Of::ExecutionsAtEachHost, name)
+        // What is taken for one budget and not had of the next is lost to this router for a while, and to nobody else.
+        let cold = self.facade.is_cold(self.now, host);
+        (!cold || link.take(now, Of::ExecutionsAtEachColdHost, name))
+            && link.take(now, Of::ExecutionsAtEachHost, name)
     }
 
     pub fn fleet_has(&mut self, of: Of) -> bool {
--- a/crates/ottersill/tests/fleet.rs
+++ b/crates/ottersill/tests/fleet.rs
@@ -242,6 +242,29 @@
     assert!(highest > 0.6 && highest <= 1.0);
 }
 
+#[test]
+fn a_cold_host_is_opened_by_all_routers_within_one_budget() {
+    let mut rig = rig(Plan { routers: 4, executions: 40, floor: 0, cold: 15, ..Plan::default() });
+    rig.load(6, 0);
+    sleep(4.0);
+    rig.toy.set_born(2);
+    sleep(1.0);
+    let since =
+        std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH).expect("a time").as_secs_f64();
+    sleep(4.0);
+    rig.rest();
+    let all = rig.toy.executed(2);
+    let mut began: Vec<f64> =
+        all.iter().map(|execution| execution.began).filter(|began| *began > since).collect();
+    began.sort_by(f64::total_cmp);
+    let most = (0..began.len())
+        .map(|at| began[at..].iter().take_while(|later| **later < began[at] + 1.0).count())
+        .max();
+    // Four routers send some hundreds a second there while it is warm.
+    assert!(began.len() >= 25 && most <= Some(30), "{} in four seconds, {most:?} in one", began.len());
+    clean(&rig);
+}
+
 #[test]
 fn what_is_held_back_on_the_way_to_a_host_stays_counted() {
     let mut rig = rig(Plan { routers: 3, executions: 6, floor: 0, ..Plan::default() });
