--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -80,6 +80,9 @@
     /// Seconds a round.
     #[arg(long, default_value_t = 3.0)]
     seconds: f64,
+    /// Routers write down what they spend.
+    #[arg(long)]
+    audit: bool,
     #[arg(long)]
     program: Option<PathBuf>,
     #[arg(long, default_value = "example/router.json")]
@@ -123,6 +126,7 @@
                 probes: 1000,
                 work: 0.0,
                 talk,
+                audit: cost.audit,
                 seed: round as u64 + 1,
                 ..Plan::default()
             };
--- a/crates/lab/src/rig.rs
+++ b/crates/lab/src/rig.rs
@@ -47,6 +47,8 @@
     pub work: f64,
     /// Without it routers know nothing of each other.
     pub talk: bool,
+    /// Whether routers write down what they spend.
+    pub audit: bool,
     /// Further words of each router's command line.
     pub words: Vec<String>,
 }
@@ -69,6 +71,7 @@
             hold: 2.0,
             work: 0.02,
             talk: true,
+            audit: true,
             words: Vec::new(),
         }
     }
@@ -207,7 +210,7 @@
         }
         let folder = self.folder.display();
         text += &format!(
-            "listen: \"{}\"\ncontrol: \"{}\"\nkey_file: \"{folder}/fleet.key\"\naudit_file: \"{folder}/{}.audit\"\n\
+            "listen: \"{}\"\ncontrol: \"{}\"\nkey_file: \"{folder}/fleet.key\"\n{}\
              keeper_lease_s: {}\nlease_s: {}\nfloor_lease_s: {}\ndrift: 0.01\nmembers_at_most: {}\n\
              budget {{ of: EXECUTIONS_AT_EACH_HOST whole: {executions} floor: {} hold_s: {} }}\n\
              budget {{ of: PROBES whole: {} every_s: 1 }}\n\
@@ -215,7 +218,7 @@
              budget {{ of: EXECUTIONS_AT_EACH_COLD_HOST whole: {} every_s: 1 }}\n",
             me.at,
             me.control,
-            me.name,
+            if plan.audit { format!("audit_file: \"{folder}/{}.audit\"\n", me.name) } else { String::new() },
             plan.keeper_lease,
             plan.lease,
             plan.floor_lease,
