--- a/crates/lab/src/rig.rs
+++ b/crates/lab/src/rig.rs
@@ -1,6 +1,7 @@
 //! Many routers of the built program on one machine: each with its files, a relay on every way between two of them, clients
 //! that send all the time, and faults: killed, stopped and continued, ended by SIGTERM, started again, cut off.
 
+use std::any::Any;
 use std::collections::BTreeMap;
 use std::fs;
 use std::io::{self, BufRead, BufReader, Write};
@@ -132,9 +133,15 @@
     IpAddr::from([127, 64 + (process >> 8) as u8 % 128, process as u8, 1 + (rig % 250) as u8])
 }
 
-/// A port of that address that nobody has now.
-fn vacant(at: IpAddr, datagrams: bool) -> io::Result<SocketAddr> {
-    if datagrams { UdpSocket::bind((at, 0))?.local_addr() } else { TcpListener::bind((at, 0))?.local_addr() }
+/// A port of that address that nobody has now, and what holds it until a router is to have it.
+fn vacant(at: IpAddr, datagrams: bool) -> io::Result<(SocketAddr, Box<dyn Any>)> {
+    if datagrams {
+        let socket = UdpSocket::bind((at, 0))?;
+        Ok((socket.local_addr()?, Box::new(socket)))
+    } else {
+        let listener = TcpListener::bind((at, 0))?;
+        Ok((listener.local_addr()?, Box::new(listener)))
+    }
 }
 
 impl Rig {
@@ -158,10 +165,14 @@
         let mut file =
             fs::OpenOptions::new().create(true).truncate(true).write(true).mode(0o600).open(&key)?;
         file.write_all(b"known to the members of this rig only")?;
-        let mut routers = Vec::new();
+        // All ports are held until the last is chosen, or one would be given twice.
+        let (mut routers, mut held) = (Vec::new(), Vec::new());
         for (index, wires) in wires.iter().enumerate() {
             let name = format!("r{index}");
-            let (listen, control, at) = (vacant(own, false)?, vacant(own, false)?, vacant(own, true)?);
+            let (listen, door) = vacant(own, false)?;
+            let (control, desk) = vacant(own, false)?;
+            let (at, post) = vacant(own, true)?;
+            held.extend([door, desk, post]);
             // For as long as the process lives, as the toy's threads do.
             let dials: &'static [SocketAddr] = wires.iter().map(Wire::at).collect::<Vec<_>>().leak();
             let discovery = toy.discovery_by(&format!("{own}:0"), dials)?;
@@ -184,6 +195,7 @@
                 stopped: false,
             });
         }
+        drop(held);
         let relay = |from: usize, to: usize| {
             (from != to)
                 .then(|| Relay::start(routers[to].at, plan.seed << 16 | (from << 8 | to) as u64))
@@ -236,7 +248,8 @@
     pub fn double(&self, index: usize) -> io::Result<Double> {
         let me = &self.routers[index];
         let own = me.at.ip();
-        let (listen, control) = (vacant(own, false)?, vacant(own, false)?);
+        let ((listen, door), (control, desk)) = (vacant(own, false)?, vacant(own, false)?);
+        drop((door, desk));
         let (charter, fleet) = (self.folder.join("double.json"), self.folder.join("double.textproto"));
         fs::write(
             &charter,
