--- a/crates/ottersill/src/command/fleet.rs
+++ b/crates/ottersill/src/command/fleet.rs
@@ -52,7 +52,7 @@
     if faults { Err("the router has no answer to that".into()) } else { Ok(()) }
 }
 
-/// `name value` pairs, in the order in which they were told.
+/// `name=value` pairs, by name.
 fn plain(object: &Value) -> String {
     let pairs = object.as_object().into_iter().flatten().map(|(name, value)| match value {
         Value::String(text) => format!("{name}={text:?}"),
