Routers of a rig have ports below those that connections are opened from

Holding all until the last was chosen had not been enough. Change: fixed ports of the rig's own loopback address, from 10,000 on; nothing is chosen and let go any more.

--- a/crates/lab/src/rig.rs
+++ b/crates/lab/src/rig.rs
@@ -1,11 +1,10 @@
 //! Many routers of the built program on one machine: each with its files, a relay on every way between two of them, clients
 //! that send all the time, and faults: killed, stopped and continued, ended by SIGTERM, started again, cut off.
 
-use std::any::Any;
 use std::collections::BTreeMap;
 use std::fs;
 use std::io::{self, BufRead, BufReader, Write};
-use std::net::{IpAddr, SocketAddr, TcpListener, UdpSocket};
+use std::net::{IpAddr, SocketAddr};
 use std::os::unix::fs::OpenOptionsExt;
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
@@ -136,15 +135,10 @@
     IpAddr::from([127, 64 + (process >> 8) as u8 % 128, process as u8, 1 + (rig % 250) as u8])
 }
 
-/// A port of that address that nobody has now, and what holds it until a router is to have it.
-fn vacant(at: IpAddr, datagrams: bool) -> io::Result<(SocketAddr, Box<dyn Any>)> {
-    if datagrams {
-        let socket = UdpSocket::bind((at, 0))?;
-        Ok((socket.local_addr()?, Box::new(socket)))
-    } else {
-        let listener = TcpListener::bind((at, 0))?;
-        Ok((listener.local_addr()?, Box::new(listener)))
-    }
+/// Where the router of that number takes clients, operators and datagrams: below the ports that connections are opened from,
+/// or one of them might have a router's port just before the router has.
+fn addresses(own: IpAddr, index: usize) -> [SocketAddr; 3] {
+    [0, 1, 2].map(|kind| SocketAddr::from((own, 10_000 + 3 * index as u16 + kind)))
 }
 
 impl Rig {
@@ -168,14 +162,10 @@
         let mut file =
             fs::OpenOptions::new().create(true).truncate(true).write(true).mode(0o600).open(&key)?;
         file.write_all(b"known to the members of this rig only")?;
-        // All ports are held until the last is chosen, or one would be given twice.
-        let (mut routers, mut held) = (Vec::new(), Vec::new());
+        let mut routers = Vec::new();
         for (index, wires) in wires.iter().enumerate() {
             let name = format!("r{index}");
-            let (listen, door) = vacant(own, false)?;
-            let (control, desk) = vacant(own, false)?;
-            let (at, post) = vacant(own, true)?;
-            held.extend([door, desk, post]);
+            let [listen, control, at] = addresses(own, index);
             // For as long as the process lives, as the toy's threads do.
             let dials: &'static [SocketAddr] = wires.iter().map(Wire::at).collect::<Vec<_>>().leak();
             let discovery = toy.discovery_by(&format!("{own}:0"), dials)?;
@@ -200,7 +190,6 @@
                 stopped: false,
             });
         }
-        drop(held);
         let relay = |from: usize, to: usize| {
             (from != to)
                 .then(|| Relay::start(routers[to].at, plan.seed << 16 | (from << 8 | to) as u64))
@@ -252,9 +241,7 @@
     /// Another process under a router's name and files, but for where it listens to clients; ends with the value.
     pub fn double(&self, index: usize) -> io::Result<Double> {
         let me = &self.routers[index];
-        let own = me.at.ip();
-        let ((listen, door), (control, desk)) = (vacant(own, false)?, vacant(own, false)?);
-        drop((door, desk));
+        let [listen, control, _] = addresses(me.at.ip(), self.routers.len() + index);
         let (charter, fleet) = (self.folder.join("double.json"), self.folder.join("double.textproto"));
         fs::write(
             &charter,
