A question that comes after its holder's leaving takes nothing off the keeper's books

Need: read once more, Books::leave kept no number of the letter: a question sent before and delivered after it was heard (books.rs, nonce), and what it said was in hand, less than what was begun since, took the place of what the leaving had put down. Others could then be granted units that were still in use. Change: the leaving's number counts as the last question's.

--- a/crates/fleet/src/books.rs
+++ b/crates/fleet/src/books.rs
@@ -226,10 +226,12 @@
     }
 
     /// The holder has left and spends nothing more; what it has in hand ends in its own time.
-    pub fn leave(&mut self, now: f64, holder: &Process, charter: &Charter) {
+    pub fn leave(&mut self, now: f64, holder: &Process, nonce: u64, charter: &Charter) {
         for ((id, _), holders) in &mut self.accounts {
             let hold = charter.budget(*id).map_or(0.0, |budget| budget.kind.hold());
             if let Some(account) = holders.get_mut(holder) {
+                // A question of before that comes later would count less than that.
+                account.nonce = account.nonce.max(nonce);
                 // What it began since it last spoke was within its rights.
                 let amount = account.out(now, BY_DEMAND) + account.out(now, FLOOR);
                 account.parts = [Part::default(); POTS];
--- a/crates/fleet/src/fleet.rs
+++ b/crates/fleet/src/fleet.rs
@@ -500,7 +500,7 @@
         }
         let Some(books) = &mut self.books else { return };
         if leaving {
-            return books.leave(now, from, &self.charter);
+            return books.leave(now, from, nonce, &self.charter);
         }
         let mut grants = Vec::new();
         // Who has not heard of this tenure is only told of it, as what it says may be of any time.
