What was chosen may be asked again whether it may go out; unsent probes clear nobody

Need: between the choice of a host and the first byte to it a connection has to come up (up to the settings' time for that). A list, a role, a window for repeats or the age of data may have changed by then, and decide.rs was not asked again.

Second: probed() took Ending::NeverSent (no descriptor, no part of a budget) for an answer, so a suspect that was dark came back, and another passed for probed. Seen in reading; shown by a_probe_that_was_not_sent_clears_nobody, which fails without the line.

--- a/crates/core/src/decide.rs
+++ b/crates/core/src/decide.rs
@@ -257,6 +257,10 @@
         let lot = self.odds(self.draws, host);
         let m = &mut self.members[host];
         m.probe_out = false;
+        if ending == Ending::NeverSent {
+            // It lay with this router and tells nothing of the member: as an answer, it would clear a suspect.
+            return;
+        }
         let silent = matches!(ending, Ending::TimedOut | Ending::ConnectFailed | Ending::Reset);
         // One probe may be lost; statements that pass outrank it.
         if silent && m.answered_at < m.probed_at - 0.5 {
@@ -587,14 +591,30 @@
         heard && !self.barred(host) && m.suspicion.is_none_or(|s| now >= s.trial_at && s.probe_ok)
     }
 
-    /// Whether a member may be given one more execution, by the rules first, then by its health and its load.
-    fn room(&self, now: f64, host: usize, held: &Held) -> bool {
+    /// Whether what was chosen may still go out, as a list, a role or the time may have changed meanwhile.
+    pub fn may_begin(&self, now: f64, index: usize, host: usize) -> bool {
+        !self.barred(host) && self.rules(now, host, &self.held[index])
+    }
+
+    /// The same of a probe.
+    pub fn may_probe(&self, host: usize) -> bool {
+        !self.barred(host)
+    }
+
+    /// The rules on data and effects for one more execution there now.
+    fn rules(&self, now: f64, host: usize, held: &Held) -> bool {
         let m = &self.members[host];
-        let row = &self.rows[held.stmt.workload];
         let data = self.terms.members_check_reads
             || self.groups[m.listed.group].pointer == Some(host)
             || m.lsn >= self.needed(now, held);
-        let rules = data && self.effect_allows(now, host, held) && self.cold_allows(now, host, held);
+        data && self.effect_allows(now, host, held)
+    }
+
+    /// Whether a member may be given one more execution, by the rules first, then by its health and its load.
+    fn room(&self, now: f64, host: usize, held: &Held) -> bool {
+        let m = &self.members[host];
+        let row = &self.rows[held.stmt.workload];
+        let rules = self.rules(now, host, held) && self.cold_allows(now, host, held);
         let health = m.suspicion.is_none() || m.in_flight == 0 && row.terms.effect == Effect::Idempotent;
         let willing = health && self.usable(now, host) && m.full_at < held.arrived;
         rules && willing && m.holds(now, 1.0, self.odds(held.lot, host))
--- a/crates/core/src/facade.rs
+++ b/crates/core/src/facade.rs
@@ -187,6 +187,16 @@
         self.router.is_cold(now, host)
     }
 
+    /// Whether an execution that was picked may still go out; to be asked when its bytes are about to.
+    pub fn may_begin(&self, now: f64, stmt: usize, host: usize) -> bool {
+        self.router.may_begin(now, stmt, host)
+    }
+
+    /// The same of a probe.
+    pub fn may_probe(&self, host: usize) -> bool {
+        self.router.may_probe(host)
+    }
+
     /// Statements that wait in a group for a member that may take them.
     pub fn waiting(&self, group: usize) -> usize {
         self.router.waiting(group)
--- a/crates/core/tests/decisions.rs
+++ b/crates/core/tests/decisions.rs
@@ -157,6 +157,59 @@
     assert_eq!(world.sent_to(read) == [1], still);
 }
 
+/// Rules 2, 3 and 5 hold when an execution goes out, which may be some time after it was chosen.
+#[rstest]
+#[case::at_once(READ, false, 0.0, None, true)]
+#[case::drains(READ, false, 0.0, Some(Standing::Draining), false)]
+#[case::is_gone(READ, false, 0.0, Some(Standing::Gone), false)]
+#[case::data_too_old(READ, false, 1.1, None, false)]
+#[case::data_too_old_where_members_check(READ, true, 1.1, None, true)]
+#[case::any_data(REPORT, false, 1.1, None, true)]
+#[case::repeat_in_its_window(MARKED, false, 0.4, None, true)]
+#[case::repeat_after_its_window(MARKED, false, 0.6, None, false)]
+fn what_was_chosen_goes_out_by_the_rules_of_then(
+    #[case] workload: usize,
+    #[case] checks: bool,
+    #[case] later: f64,
+    #[case] told: Option<Standing>,
+    #[case] may: bool,
+) {
+    let mut world = World::settled(checks, [0.0; 3]);
+    let stmt = world.ask_with(workload, 2.0);
+    let mut host = world.sent_to(stmt)[0];
+    if workload == MARKED {
+        // It may have run once, and is on its way again.
+        world.end(stmt, host, Ending::Error, Some(Primary));
+        host = world.sent_to(stmt)[1];
+    }
+    told.into_iter().for_each(|standing| world.list(host, standing, None));
+    world.now += later;
+    assert_eq!(world.router.may_begin(world.now, stmt, host), may);
+    assert_eq!(world.router.may_probe(host), told.is_none());
+}
+
+/// A probe that this router had no descriptor for was taken for one that was answered, and cleared its member.
+#[rstest]
+#[case::never_sent(Ending::NeverSent, false)]
+#[case::answered(Ending::Completed, true)]
+fn a_probe_that_was_not_sent_clears_nobody(#[case] ending: Ending, #[case] clears: bool) {
+    let mut world = World::settled(true, [0.0, 9.0, 9.0]);
+    let lost = world.ask(READ);
+    world.now += 1.0;
+    world.end(lost, 1, Ending::ConnectFailed, None);
+    world.pass(1.2);
+    world.book.0.clear();
+    world.router.probed(
+        world.now,
+        1,
+        ending,
+        Report { lsn: Some(world.now), ..Report::default() },
+        &mut world.book,
+    );
+    let read = world.ask(READ);
+    assert_eq!(world.sent_to(read) == [1], clears);
+}
+
 /// Rule: a cold host is not pushed over; its part of what warm members get, and no more.
 #[rstest]
 #[case::just_started(0.0, 0.3)]
