A host and a discovery for tests that do only what they are told

Orders of events were hoped for in the tests so far (sleeps, conducts of the toy). The scripted peers keep a connection waiting for its greeting, answer a statement or a call when told, end or reset it in the middle, and say when a connection has been dialled or has ended.

--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -4,4 +4,5 @@
 pub mod audit;
 pub mod relay;
 pub mod rig;
+pub mod script;
 pub mod store;
--- a/crates/lab/src/store.rs
+++ b/crates/lab/src/store.rs
@@ -406,16 +406,16 @@
     out
 }
 
-fn parameter(name: &str, value: &str) -> Vec<u8> {
+pub(crate) fn parameter(name: &str, value: &str) -> Vec<u8> {
     message(b'S', format!("{name}\0{value}\0").as_bytes())
 }
 
-fn error(code: &str, text: &str) -> Vec<u8> {
+pub(crate) fn error(code: &str, text: &str) -> Vec<u8> {
     message(b'E', format!("SERROR\0VERROR\0C{code}\0M{text}\0\0").as_bytes())
 }
 
 /// One row of one binary column, and the word that completes it.
-fn row(value: &[u8], tag: &str) -> Vec<u8> {
+pub(crate) fn row(value: &[u8], tag: &str) -> Vec<u8> {
     let mut description = vec![0, 1];
     description.extend(b"content\0");
     description.extend([0, 0, 0, 0, 0, 0, 0, 0, 0, 17, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff, 0, 1]);
