A watch that falls silent is noticed in 2.5 s, and what discovery has is heard within 6 s

Lines at fault: WAIT 20 s and GRACE 2 s of discovery.rs, then a rest, a dial and a call that may be silent itself.

Now a watch waits for 2 s and is given up after 2.5; the call after it asks for the whole list without waiting, since its silence could not be told from no news; silent calls follow each other each second, and the one before the newest is kept open, as discovery may answer that one when it comes back. Whichever is answered first stays and the other is closed, so no answer is older than what was told before. A connection that was good is followed at once, one that was not after 0.1 s, and so is a watch that comes back with nothing before its time.

--- a/crates/ottersill/src/lifecycle/charter.rs
+++ b/crates/ottersill/src/lifecycle/charter.rs
@@ -8,9 +8,9 @@
 use crate::wire::discovery::List;
 use crate::wire::exchange::Berths;
 
-/// Descriptors that are no connection: three standard ones, the loop's four, listener, discovery; and one to accept
-/// with.
-const OWN_DESCRIPTORS: usize = 10;
+/// Descriptors that are no connection: three standard ones, the loop's four, listener, discovery's two, of which one may
+/// be silent; and one to accept with.
+const OWN_DESCRIPTORS: usize = 11;
 /// For clients that are only told that there is no room: each leaves with that answer, so a few will do.
 const SPARE: usize = 8;
 /// Bytes for the shapes of statements where memory is plenty: some eight thousand of them.
--- a/crates/ottersill/src/wire/discovery.rs
+++ b/crates/ottersill/src/wire/discovery.rs
@@ -1,5 +1,6 @@
 //! Discovery: what its lists say, and the watch kept on them.
 
+use std::io;
 use std::net::SocketAddr;
 use std::rc::Rc;
 
@@ -15,10 +16,19 @@
 use crate::wire::http;
 use crate::wire::socket::{self, Got, Outbox};
 
-/// How long a watch waits for news, as on the protocol page; seconds.
-const WAIT: f64 = 20.0;
-/// What is not answered this long after its wait counts as told all the same, so it is asked for anew.
-const GRACE: f64 = 2.0;
+/// What discovery has and could have told counts as told after so long, whatever failed before, as the service page has
+/// it; seconds. All that follows has to fit in: a watch that falls silent, and two more calls that are not answered.
+const TOLD: f64 = 6.0;
+/// How long a watch waits for news. Calls cost discovery nothing.
+const WAIT: f64 = TOLD / 3.0;
+/// An answer that is not here this long after its wait will not come.
+const GRACE: f64 = TOLD / 12.0;
+/// A call that waits for nothing is followed by another one after so long, while it may still be answered itself: where
+/// discovery was down, what it tells as it comes back counts at once.
+const ANEW: f64 = TOLD / 6.0;
+/// Between calls that fail or come back with nothing at once. Shorter than what keeps up a watch (200 ms), and than any
+/// time within which a host that drains gets nothing new.
+const REST: f64 = 0.1;
 
 #[derive(Clone, Debug, Deserialize)]
 pub struct List {
@@ -66,54 +76,89 @@
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Course {
-    /// Between calls, after a failure.
-    Resting,
     Dialing,
-    /// A call is out.
+    /// A call is out that is answered at once.
     Asked,
+    /// A call is out that waits for news.
+    Watching,
+    /// It came back with nothing before its time; the next one is due.
+    Resting,
+}
+
+impl Course {
+    pub fn may_become(self, next: Course) -> bool {
+        use Course::*;
+        matches!(
+            (self, next),
+            (Dialing | Resting, Asked | Watching) | (Asked, Watching) | (Watching, Watching | Resting)
+        )
+    }
+}
+
+/// One connection to discovery.
+pub struct Call {
+    course: Course,
+    socket: Rc<Socket>,
+    token: RegistrationToken,
+    inbox: BytesMut,
+    outbox: Outbox,
+    /// When its question went out.
+    asked_at: f64,
+    /// It has been answered before: an end after that is no failure of discovery.
+    answered: bool,
 }
 
 pub struct Watch {
     pub at: SocketAddr,
-    pub course: Course,
-    pub socket: Option<(Rc<Socket>, RegistrationToken)>,
-    pub inbox: BytesMut,
-    pub outbox: Outbox,
-    pub alarm: Option<Set>,
+    /// The older first; two at most. One that is not answered is kept beside the next. Whichever is answered first stays,
+    /// the other one is closed, so no answer can be older than what was told before it.
+    calls: Vec<Call>,
+    /// When the newest call is given up, or, where there is none, the next one begins.
+    alarm: Option<Set>,
     /// The version of the last list read here; none asks for the whole list, at once.
-    pub seq: Option<u64>,
+    seq: Option<u64>,
+    /// The last call was not answered: the next one waits for nothing, as its silence could not be told from no news.
+    doubt: bool,
+    /// When a fault was last said in the log.
+    logged_at: f64,
 }
 
 impl Watch {
     pub fn new(at: SocketAddr) -> Watch {
-        let (inbox, outbox) = (BytesMut::new(), Outbox::default());
-        Watch { at, course: Course::Resting, socket: None, inbox, outbox, alarm: None, seq: None }
+        Watch { at, calls: Vec::new(), alarm: None, seq: None, doubt: false, logged_at: f64::NEG_INFINITY }
     }
 }
 
 impl Exchange {
-    /// Every change of the watch's course, with the time by which it has to change again.
-    fn watch_passes(&mut self, next: Course, within: f64) {
-        let watch = &mut self.watch;
-        let may = matches!(
-            (watch.course, next),
-            (Course::Resting, Course::Dialing | Course::Resting)
-                | (Course::Dialing, Course::Asked | Course::Resting)
-                | (Course::Asked, _)
-        );
-        self.counters.must(may, "the watch goes its ways only");
-        watch.course = next;
-        self.alarms.clear(watch.alarm.take());
-        watch.alarm = Some(self.alarms.set(self.now + within, Alarm::Discovery));
+    /// Every change of a call's course.
+    fn call_passes(&mut self, call: usize, next: Course) {
+        let call = &mut self.watch.calls[call];
+        self.counters.must(call.course.may_become(next), "a call goes its ways only");
+        call.course = next;
+    }
+
+    /// The one time by which something has to have come of the newest call.
+    fn watch_within(&mut self, within: f64) {
+        self.alarms.clear(self.watch.alarm.take());
+        self.watch.alarm = Some(self.alarms.set(self.now + within, Alarm::Discovery));
     }
 
+    /// Begins a call; the one before may still be answered, the one before that is closed.
     pub fn watch_discovery(&mut self) {
+        while self.watch.calls.len() > 1 {
+            self.leave_call(0);
+        }
         match socket::dial(self.watch.at).and_then(|socket| self.attend(socket, Party::Discovery)) {
-            Ok(attended) => {
-                self.watch.socket = Some(attended);
-                self.watch_passes(Course::Dialing, self.upkeep.connect);
+            Ok((socket, token)) => {
+                let (course, inbox, outbox) = (Course::Dialing, BytesMut::new(), Outbox::default());
+                let (asked_at, answered) = (self.now, false);
+                self.watch.calls.push(Call { course, socket, token, inbox, outbox, asked_at, answered });
+                self.watch_within(ANEW);
+            }
+            Err(e) => {
+                self.watch_failed(&e.to_string());
+                self.watch_within(REST);
             }
-            Err(e) => self.watch_failed(&e.to_string()),
         }
     }
 
@@ -125,84 +170,152 @@
         }
         self.watch.at = at;
         self.watch.seq = None;
-        self.leave_discovery();
+        while !self.watch.calls.is_empty() {
+            self.leave_call(0);
+        }
         self.watch_discovery();
     }
 
-    fn ask(&mut self) {
-        let (path, wait) = match self.watch.seq {
-            None => ("/v1/servers".to_string(), 0.0),
-            Some(seq) => (format!("/v1/servers?since={seq}&timeout_ms={}", (WAIT * 1000.0) as u64), WAIT),
+    /// Asks on a connection that is up.
+    fn ask(&mut self, id: usize) -> io::Result<()> {
+        let since = self.watch.seq.filter(|_| !self.watch.doubt);
+        let (path, next, within) = match since {
+            None => ("/v1/servers".to_string(), Course::Asked, ANEW),
+            Some(seq) => {
+                let wait = (WAIT * 1000.0) as u64;
+                (format!("/v1/servers?since={seq}&timeout_ms={wait}"), Course::Watching, WAIT + GRACE)
+            }
         };
-        self.watch.outbox.push(http::get(&path, &self.watch.at.to_string()));
-        self.watch_passes(Course::Asked, wait + GRACE);
+        self.call_passes(id, next);
+        let question = http::get(&path, &self.watch.at.to_string());
+        let newest = id + 1 == self.watch.calls.len();
+        let call = &mut self.watch.calls[id];
+        call.asked_at = self.now;
+        call.outbox.push(question);
+        let flushed = call.outbox.flush(&call.socket);
+        if newest {
+            self.watch_within(within);
+        }
+        flushed.map(|_| ())
     }
 
     pub fn discovery_is_ready(&mut self) {
-        if let Err(fault) = self.read_discovery() {
-            self.watch_failed(&fault);
+        let mut id = 0;
+        while id < self.watch.calls.len() {
+            match self.read_call(id) {
+                Ok(None) => id += 1,
+                Ok(Some((list, last))) => return self.told(id, &list, last),
+                Err(fault) => self.call_failed(id, &fault),
+            }
         }
     }
 
-    fn read_discovery(&mut self) -> Result<(), String> {
-        let Some((socket, _)) = self.watch.socket.clone() else { return Ok(()) };
-        if self.watch.course == Course::Dialing {
-            if !socket::is_up(&socket).map_err(|e| e.to_string())? {
-                return Ok(());
+    /// The list that has come on that connection, and whether the other side ends it.
+    fn read_call(&mut self, id: usize) -> Result<Option<(List, bool)>, String> {
+        let up = socket::is_up(&self.watch.calls[id].socket).map_err(|e| e.to_string())?;
+        if self.watch.calls[id].course == Course::Dialing {
+            if !up {
+                return Ok(None);
             }
-            self.ask();
+            self.ask(id).map_err(|e| e.to_string())?;
         }
-        self.watch.outbox.flush(&socket).map_err(|e| e.to_string())?;
-        let got = socket::read(&socket, &mut self.watch.inbox, http::LONGEST).map_err(|e| e.to_string())?;
-        let response = http::response(&mut self.watch.inbox, got == Got::End)?;
-        if let Some(response) = response {
+        let call = &mut self.watch.calls[id];
+        call.outbox.flush(&call.socket).map_err(|e| e.to_string())?;
+        // A reset is no end: what came before it is dropped with the connection.
+        let got = socket::read(&call.socket, &mut call.inbox, http::LONGEST).map_err(|e| e.to_string())?;
+        if let Some(response) = http::response(&mut call.inbox, got == Got::End)? {
             if response.status != 200 {
                 return Err(format!("status {}", response.status));
             }
-            let list: List = serde_json::from_slice(&response.body).map_err(|e| e.to_string())?;
-            self.watch.seq = Some(list.seq);
-            self.take_list(&list);
-            if response.last {
-                // Asked again at once: only calls that follow soon keep up the watch.
-                self.leave_discovery();
-                self.watch_discovery();
-                return Ok(());
-            }
-            self.ask();
-            self.watch.outbox.flush(&socket).map_err(|e| e.to_string())?;
+            let list = serde_json::from_slice(&response.body).map_err(|e| e.to_string())?;
+            return Ok(Some((list, response.last)));
         }
         match got {
             Got::End => Err("it ended the connection".into()),
             Got::More => {
                 self.again(Party::Discovery);
-                Ok(())
+                Ok(None)
+            }
+            Got::All => Ok(None),
+        }
+    }
+
+    /// An answer: that connection is the watch from here on.
+    fn told(&mut self, id: usize, list: &List, last: bool) {
+        for other in (0..self.watch.calls.len()).rev().filter(|other| *other != id) {
+            self.leave_call(other);
+        }
+        let call = &mut self.watch.calls[0];
+        let early = call.course == Course::Watching && self.now - call.asked_at < WAIT - GRACE;
+        let idles = early && self.watch.seq == Some(list.seq);
+        call.answered = true;
+        (self.watch.seq, self.watch.doubt) = (Some(list.seq), false);
+        self.take_list(list);
+        if last {
+            // Asked again at once: only calls that follow soon keep up the watch.
+            self.leave_call(0);
+        }
+        match (idles, last) {
+            // One that never waits must not keep this router busy.
+            (true, false) => {
+                self.call_passes(0, Course::Resting);
+                self.watch_within(REST);
             }
-            Got::All => Ok(()),
+            (true, true) => self.watch_within(REST),
+            (false, true) => self.watch_discovery(),
+            (false, false) => match self.ask(0) {
+                // What came behind the answer raises no readiness of its own.
+                Ok(()) => self.again(Party::Discovery),
+                Err(fault) => self.call_failed(0, &fault.to_string()),
+            },
         }
     }
 
     pub fn discovery_is_due(&mut self) {
         self.watch.alarm = None;
-        match self.watch.course {
-            Course::Resting => self.watch_discovery(),
-            Course::Dialing | Course::Asked => self.watch_failed("no answer in time"),
+        match self.watch.calls.last().map(|call| call.course) {
+            None => self.watch_discovery(),
+            Some(Course::Resting) => {
+                if let Err(fault) = self.ask(self.watch.calls.len() - 1) {
+                    self.call_failed(self.watch.calls.len() - 1, &fault.to_string());
+                }
+            }
+            Some(_) => {
+                self.watch.doubt = true;
+                self.watch_failed("no answer in time");
+                self.watch_discovery();
+            }
+        }
+    }
+
+    /// That connection is of no further use. Where it is the last one, the next follows: at once after one that was good,
+    /// as what is told meanwhile counts.
+    fn call_failed(&mut self, id: usize, fault: &str) {
+        let answered = self.leave_call(id);
+        self.watch.doubt |= !answered;
+        self.watch_failed(fault);
+        match (self.watch.calls.len(), answered) {
+            (0, true) => self.watch_discovery(),
+            // Where an older one is left, it may still be answered.
+            (left, _) if left == id => self.watch_within(REST),
+            _ => {}
         }
     }
 
     fn watch_failed(&mut self, fault: &str) {
         self.counters.lists_failed += 1;
-        warn!(self.log, "discovery"; "fault" => fault);
-        self.leave_discovery();
+        if self.now - self.watch.logged_at >= 1.0 {
+            self.watch.logged_at = self.now;
+            warn!(self.log, "discovery"; "fault" => fault, "failed_so_far" => self.counters.lists_failed);
+        }
         self.list_failed();
     }
 
-    fn leave_discovery(&mut self) {
-        if let Some((_, token)) = self.watch.socket.take() {
-            self.handle.remove(token);
-        }
-        self.watch.inbox.clear();
-        self.watch.outbox = Outbox::default();
-        self.watch_passes(Course::Resting, self.upkeep.connect);
+    /// Closes a connection; true if it was answered before.
+    fn leave_call(&mut self, id: usize) -> bool {
+        let call = self.watch.calls.remove(id);
+        self.handle.remove(call.token);
+        call.answered
     }
 
     pub fn take_list(&mut self, list: &List) {
@@ -217,5 +330,6 @@
                 "started_at" => listed.started_at.unwrap_or(0.0));
         }
         self.tell_list(&told);
+        self.call_back();
     }
 }
--- /dev/null
+++ b/crates/ottersill/tests/watch.rs
@@ -0,0 +1,166 @@
+//! The watch on discovery through its failures: what it has is heard in time, whatever was refused, cut or given up before.
+
+mod scene;
+
+use std::net::TcpStream;
+use std::thread;
+use std::time::{Duration, Instant};
+
+use ottersill_lab::script::{Discovery, Host, list};
+use ottersill_lab::store::Client;
+use rstest::rstest;
+use scene::*;
+
+/// What the service page allows from when discovery has something to when it counts as told.
+const TOLD: Duration = Duration::from_secs(6);
+
+/// What discovery does with the calls that follow the watch which the router keeps.
+#[derive(Clone, Copy, Debug)]
+enum Then {
+    /// The connection stays open and says nothing.
+    Silent,
+    Resets,
+    Ends,
+    /// The list says that the host drains, and is cut in the middle.
+    Cut(&'static str, bool),
+    Refuses,
+}
+
+/// A list that is cut, with no length or in chunks, by an end or by a reset: none of it counts, and whatever fails before,
+/// what discovery has counts as told after six seconds.
+#[rstest]
+#[case::silent(&[Then::Silent])]
+#[case::silent_and_again(&[Then::Silent, Then::Silent])]
+#[case::silent_thrice(&[Then::Silent, Then::Silent, Then::Silent])]
+#[case::reset(&[Then::Resets, Then::Resets, Then::Resets])]
+#[case::ended(&[Then::Ends, Then::Ends])]
+#[case::silent_then_reset(&[Then::Silent, Then::Resets, Then::Silent])]
+#[case::refused(&[Then::Silent, Then::Refuses, Then::Refuses])]
+#[case::no_length_reset(&[Then::Cut("", true), Then::Cut("", true)])]
+#[case::no_length_ended(&[Then::Cut("", false), Then::Silent])]
+#[case::length_ended(&[Then::Cut("Content-Length: 4000\r\n", false)])]
+#[case::chunks_reset(&[Then::Cut("Transfer-Encoding: chunked\r\n", true), Then::Silent])]
+fn what_discovery_has_is_heard_in_time_whatever_failed(#[case] course: &[Then]) {
+    let scene = Scene::set(&[]);
+    let drains = scene.list(2, "active", "leaving");
+    let started = Instant::now();
+    let mut silent = Vec::new();
+    for then in course {
+        let mut call = scene.discovery.next();
+        match then {
+            Then::Silent => silent.push(call),
+            Then::Resets => call.reset(),
+            Then::Ends => call.end(),
+            Then::Refuses => {
+                call.say("HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n");
+                silent.push(call);
+            }
+            Then::Cut(header, reset) => {
+                let chunk = if header.contains("chunked") { "fff\r\n" } else { "" };
+                let whole = drains.replace("active", "leaving");
+                // All of one host, and half of the next.
+                let part = &whole[..whole.len() - 40];
+                call.say(&format!("HTTP/1.1 200 OK\r\n{header}\r\n{chunk}{part}"));
+                // Both in the buffer before the end comes, or the reset would take it along.
+                thread::sleep(Duration::from_millis(20));
+                if *reset { call.reset() } else { call.end() }
+            }
+        }
+    }
+    let call = scene.discovery.next_within(TOLD).expect("it asks again");
+    // Nothing of what was cut has moved the version on.
+    assert!(!call.path.contains("since=2"), "{}", call.path);
+    call.answer(&drains);
+    assert!(started.elapsed() < TOLD, "{:?}", started.elapsed());
+    // Once it has read that, it asks for what is newer.
+    let next = scene.discovery.next();
+    assert!(next.path.contains("since=2"), "{}", next.path);
+    let mut client = scene.router.client();
+    client.send(&read(7, 2000)).expect("a query");
+    let arrival = scene.primary.next();
+    assert!(arrival.text.contains("id=a7"), "the host that drains gets nothing");
+    arrival.answer("elsewhere");
+    assert_eq!(client.answer().expect("an answer"), "row:elsewhere SELECT 1");
+}
+
+/// Discovery was down and answers the call that it has had for longest: that counts at once, and was given up before.
+#[test]
+fn a_call_that_is_answered_late_is_heard() {
+    let scene = Scene::set(&[]);
+    let watch = scene.discovery.next();
+    let next = scene.discovery.next();
+    watch.answer(&scene.list(2, "active", "leaving"));
+    let after = scene.discovery.next();
+    assert!(after.path.contains("since=2"), "{}", after.path);
+    drop(next);
+}
+
+/// Moved by SIGHUP to a discovery that accepts and says nothing at first: told four seconds after the signal.
+#[test]
+fn a_new_discovery_that_is_silent_at_first_is_heard_in_time() {
+    let scene = Scene::set(&[]);
+    let other = Discovery::start().expect("discovery");
+    let text = std::fs::read_to_string(&scene.router.charter).expect("a charter");
+    let text = text.replace(&scene.discovery.at.to_string(), &other.at.to_string());
+    std::fs::write(&scene.router.charter, text).expect("a charter");
+    let started = Instant::now();
+    scene.router.signal("-HUP");
+    let silent = [other.next(), other.next()];
+    other.next().answer(&scene.list(1, "active", "leaving"));
+    assert!(started.elapsed() < Duration::from_secs(4), "{:?}", started.elapsed());
+    assert!(other.next().path.contains("since=1"));
+    drop(silent);
+}
+
+/// An agent that answers each watch at once with nothing must not keep the router busy.
+#[test]
+fn a_watch_that_never_waits_is_asked_again_after_a_rest() {
+    let scene = Scene::set(&[]);
+    let list = scene.list(1, "active", "active");
+    let started = Instant::now();
+    (0..5).for_each(|_| scene.discovery.next().answer(&list));
+    assert!(started.elapsed() > Duration::from_millis(300), "{:?}", started.elapsed());
+}
+
+/// Idle clients hold all that clients may hold, and the watch breaks: discovery is dialled anew all the same, and a statement
+/// finds its way to a host.
+#[test]
+fn idle_clients_do_not_keep_discovery_out() {
+    let discovery = Discovery::start().expect("discovery");
+    let host = Host::start(true).expect("a host");
+    let text = charter(discovery.at, &[("\"sockets\": 1024", "\"sockets\": 40")]);
+    let router = Router::spawn(&text, Some(40));
+    let hosts = [("one", host.at, "active")];
+    discovery.next().answer(&list(1, &hosts));
+    let router = router.until_ready();
+    let crowd: Vec<TcpStream> =
+        (0..60).map(|_| TcpStream::connect(router.at).expect("a connection")).collect();
+    for _ in 0..3 {
+        discovery.next().reset();
+    }
+    let silent = [discovery.next(), discovery.next(), discovery.next()];
+    let held =
+        std::fs::read_dir(format!("/proc/{}/fd", router.process.id())).expect("its descriptors").count();
+    assert!(held <= 40, "{held}");
+    discovery.next().answer(&list(2, &hosts));
+    assert!(discovery.next().path.contains("since=2"));
+    let mut client = Client::connect(router.at).expect("a connection");
+    client.socket.set_read_timeout(Some(PATIENCE)).expect("a time-out");
+    client.send(&write(7, 2000)).expect("a query");
+    host.next().answer("served");
+    assert_eq!(client.last_words(), "row:served");
+    drop((crowd, silent));
+}
+
+/// Started again while discovery is down and with no list of old: ready within ten seconds all the same, and what comes is
+/// turned away at once, as it was never sent.
+#[test]
+fn a_router_without_a_list_is_ready_and_turns_away() {
+    let discovery = Discovery::start().expect("discovery");
+    let started = Instant::now();
+    let router = Router::spawn(&charter(discovery.at, &[]), None).until_ready();
+    assert!(started.elapsed() < Duration::from_secs(10), "{:?}", started.elapsed());
+    let mut client = router.client();
+    assert_eq!(client.ask(&read(7, 2000)).expect("an answer"), "C53300 D500");
+    assert_eq!(client.ask("").expect("an answer"), "empty");
+}
