Long statements sent ahead wait where memory is short, rather than being dropped

Seen in reading the change once more: with half of the memory for statements taken, a client that had one long statement ahead of its answer was taken for a flood, its statements were dropped and it was dismissed; before it waited. At fault: client_side.rs took the smaller bound of what is read ahead for that of a flood.

--- a/crates/ottersill/src/wire/client_side.rs
+++ b/crates/ottersill/src/wire/client_side.rs
@@ -304,9 +304,10 @@
             Ok(Got::More) if socket::has_ended(&client.socket) => return self.close_client(id),
             Ok(Got::More) => {
                 client.unread = true;
-                client.flooded |= busy && client.inbox.len() >= most;
-                // Its end may be on its way still, held up by what is not read.
-                if busy && client.dropped < DROPPED {
+                client.flooded |= busy && client.inbox.len() >= AHEAD;
+                // Its end may be on its way still, held up by what is not read. Where memory is short it has to wait.
+                let reads_on = client.flooded || client.inbox.len() < most;
+                if busy && reads_on && client.dropped < DROPPED {
                     self.again(Party::Client(id));
                 }
             }
--- a/crates/ottersill/src/wire/discovery.rs
+++ b/crates/ottersill/src/wire/discovery.rs
@@ -25,8 +25,8 @@
 const GRACE: f64 = TOLD / 12.0;
 /// A call that is not answered is kept open for so long beside those that follow it.
 const KEPT: f64 = TOLD / 6.0;
-/// Between calls that fail or come back with nothing at once. Shorter than what keeps up a watch (200 ms), and than any
-/// time within which a host that drains gets nothing new.
+/// Between calls that fail or come back with nothing at once. Shorter than what keeps up a watch (200 ms), by
+/// the protocol page.
 const REST: f64 = 0.1;
 
 #[derive(Clone, Debug, Deserialize)]
--- a/crates/ottersill/tests/crossings.rs
+++ b/crates/ottersill/tests/crossings.rs
@@ -58,13 +58,7 @@
     scene.replica.greets();
     scene.replica.until_greeted();
     scene.router.signal("-CONT");
-    // Whatever comes first is the next client's.
-    let mut next = scene.router.client();
-    next.send(&read(8, 8000)).expect("a query");
-    let arrival = scene.replica.next();
-    assert!(arrival.text.contains("id=a8"), "{}", arrival.text);
-    arrival.answer("next");
-    assert_eq!(next.answer().expect("an answer"), "row:next SELECT 1");
+    scene.next_read_is_the_first_to_come();
     drop(left);
 }
 
@@ -122,21 +116,18 @@
     drop(client);
     until("the router sees the end", || router_side(scene.router.at, gone).is_none());
     scene.replica.greets();
-    let mut next = scene.router.client();
-    next.send(&read(8, 8000)).expect("a query");
-    let arrival = scene.replica.next();
-    assert!(arrival.text.contains("id=a8"), "{}", arrival.text);
-    arrival.answer("next");
-    assert_eq!(next.answer().expect("an answer"), "row:next SELECT 1");
+    scene.next_read_is_the_first_to_come();
 }
 
 /// One that floods gets the answer to what it had in hand, and is told why it gets no more; one that sends some long statements
 /// ahead is answered.
 #[rstest]
-#[case::some(3, "row:late SELECT 1")]
-#[case::a_flood(40, "C08P01")]
-fn who_floods_is_told(#[case] long_ones: usize, #[case] expected: &str) {
-    let scene = Scene::set(&[LONG, LATE]);
+#[case::some(3, 192, "row:late SELECT 1")]
+#[case::some_where_memory_is_short(3, 2, "row:late SELECT 1")]
+#[case::a_flood(40, 192, "C08P01")]
+fn who_floods_is_told(#[case] long_ones: usize, #[case] memory_mb: usize, #[case] expected: &str) {
+    let memory = format!("\"memory_mb\": {memory_mb}");
+    let scene = Scene::set(&[LONG, LATE, ("\"memory_mb\": 192", &memory)]);
     let mut client = scene.router.client();
     client.send(&read(7, 8000)).expect("a query");
     let first = scene.replica.next();
--- a/crates/ottersill/tests/scene/mod.rs
+++ b/crates/ottersill/tests/scene/mod.rs
@@ -133,6 +133,16 @@
         list(seq, &[("one", self.primary.at, primary), ("two", self.replica.at, replica)])
     }
 
+    /// Another client's read is the first thing that comes to the replica from here on.
+    pub fn next_read_is_the_first_to_come(&self) {
+        let mut next = self.router.client();
+        next.send(&read(8, 8000)).expect("a query");
+        let arrival = self.replica.next();
+        assert!(arrival.text.contains("id=a8"), "{}", arrival.text);
+        arrival.answer("next");
+        assert_eq!(next.answer().expect("an answer"), "row:next SELECT 1");
+    }
+
     /// A client whose read waits on a connection to the replica that is not up yet.
     pub fn read_on_its_way(&self, number: u32, left_ms: u32) -> Client {
         self.replica.greets_no_more();
