Tests force the order that they are about: ends and bytes are there before a router goes on

Seen, with a probe on the system's table of connections: in 8 of 840 cases the client's own side of the connection was still established right after the test had dropped its socket, and the router's side had not heard of an end. Closing ends a connection only with the last descriptor for it: tests run in threads, and a program that another test starts just then (kill, a router) holds all descriptors until it has become that program. The router went on before the end was there and rightly sent the read.

Scripted peers end connections by a shutdown, which does not wait for other descriptors.

--- a/crates/lab/src/script.rs
+++ b/crates/lab/src/script.rs
@@ -2,7 +2,7 @@
 //! so that an order of events is forced rather than hoped for.
 
 use std::io::{self, BufRead, BufReader, ErrorKind, Read, Write};
-use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::sync::mpsc::{Receiver, Sender, channel};
 use std::sync::{Arc, Condvar, Mutex, MutexGuard, PoisonError};
 use std::thread;
@@ -28,6 +28,13 @@
     Ok(())
 }
 
+/// The orderly end, at once: a socket that is only dropped stays open for as long as a program that another thread starts
+/// just then still holds this one's descriptors.
+fn end(socket: &TcpStream) {
+    // It fails where the other side has ended it already.
+    let _ = socket.shutdown(Shutdown::Write);
+}
+
 struct Conduct {
     greets: bool,
     primary: bool,
@@ -189,7 +196,7 @@
             let shared = Arc::clone(&shared);
             let _ = to.clone().send(Arrival { text, came: Instant::now(), socket, shared, to });
         }
-        None => drop(socket),
+        None => end(&socket),
     }
     lock(&shared.conduct).resting -= 1;
     Ok(())
@@ -242,6 +249,7 @@
         let mut out = error(code, "as it was told");
         out.extend(ready(&lock(&self.shared.conduct)));
         let _ = self.socket.write_all(&out);
+        end(&self.socket);
     }
 
     /// So much of an answer, and then a reset.
@@ -315,7 +323,9 @@
     }
 
     /// The orderly end.
-    pub fn end(self) {}
+    pub fn end(self) {
+        end(&self.socket);
+    }
 }
 
 /// Discovery's list, each host by its name, its address and its health.
--- a/crates/ottersill/tests/crossings.rs
+++ b/crates/ottersill/tests/crossings.rs
@@ -54,9 +54,11 @@
     let scene = Scene::set(&[PATIENT, LONG, LATE]);
     let client = scene.read_on_its_way(7, 8000);
     scene.router.signal("-STOP");
+    let gone = client.socket.local_addr().expect("an address");
     let left = go(client, how);
+    until_the_end_is_there(scene.router.at, gone);
     scene.replica.greets();
-    scene.replica.until_greeted();
+    until_unread_from(scene.replica.at);
     scene.router.signal("-CONT");
     scene.next_read_is_the_first_to_come();
     drop(left);
@@ -74,7 +76,10 @@
     let first = scene.replica.next();
     scene.router.signal("-STOP");
     first.fail(code);
+    until_unread_from(scene.replica.at);
+    let gone = client.socket.local_addr().expect("an address");
     drop(client);
+    until_the_end_is_there(scene.router.at, gone);
     scene.router.signal("-CONT");
     let mut next = scene.router.client();
     next.send(&write(8, 8000)).expect("a query");
--- a/crates/ottersill/tests/scene/mod.rs
+++ b/crates/ottersill/tests/scene/mod.rs
@@ -75,6 +75,10 @@
     }
 
     pub fn signal(&self, name: &str) {
+        // Stopped in the middle of a turn, it would go on with what it found ready before; in a turn it does not sleep.
+        if name == "-STOP" {
+            until("it waits for what comes", || self.state() == "S");
+        }
         let sent = Command::new("kill").args([name, &self.process.id().to_string()]).status();
         assert!(sent.expect("kill").success());
         // A stop counts once the process is stopped, not once it is told to.
@@ -153,15 +157,47 @@
     }
 }
 
-/// How the system has the router's side of the connection from `client`, in its own two digits; none once it is closed.
+/// What the system says of a connection at one of its sides: the state, in its own two digits, and whether bytes lie unread.
+struct Side {
+    local: String,
+    remote: String,
+    state: String,
+    unread: bool,
+}
+
+fn sides() -> Vec<Side> {
+    let all = std::fs::read_to_string("/proc/net/tcp").expect("the connections");
+    let side = |line: &str| {
+        let mut fields = line.split_whitespace().skip(1).map(str::to_string);
+        let mut next = || fields.next().expect("a field");
+        let (local, remote, state, queues) = (next(), next(), next(), next());
+        Side { local, remote, state, unread: !queues.ends_with(":00000000") }
+    };
+    all.lines().skip(1).map(side).collect()
+}
+
+fn hex(at: SocketAddr) -> String {
+    format!("0100007F:{:04X}", at.port())
+}
+
+/// The state of the router's side of the connection from `client`; none once it is closed.
 pub fn router_side(router: SocketAddr, client: SocketAddr) -> Option<String> {
-    let hex = |at: SocketAddr| format!("0100007F:{:04X}", at.port());
     let (router, client) = (hex(router), hex(client));
-    let all = std::fs::read_to_string("/proc/net/tcp").expect("the connections");
-    all.lines().find_map(|line| {
-        let fields: Vec<&str> = line.split_whitespace().collect();
-        (fields[1] == router && fields[2] == client).then(|| fields[3].to_string())
-    })
+    sides().into_iter().find(|side| side.local == router && side.remote == client).map(|side| side.state)
+}
+
+/// Waits until the end of the connection from `client` is at the router's side of it, read or not. A socket that is dropped
+/// is not always closed by then: tests run in threads, and what one of them starts (`kill`, a router) has all descriptors
+/// of the process until it has become that program, among them the one that another test drops meanwhile.
+pub fn until_the_end_is_there(router: SocketAddr, client: SocketAddr) {
+    const ESTABLISHED: &str = "01";
+    until("the end is there", || router_side(router, client).as_deref() != Some(ESTABLISHED));
+}
+
+/// Waits until what that host wrote lies unread at the router: written is not yet there where the system is busy.
+pub fn until_unread_from(host: SocketAddr) {
+    let host = hex(host);
+    until("it is there to be read", || sides().iter().any(|side| side.remote == host && side.unread));
 }
 
 pub fn until(what: &str, holds: impl Fn() -> bool) {
