Statements sent ahead count their time from arrival, make way in time, and are never dropped

And one with a long time held up those behind it, whose answers can't overtake its own. Now the time of the first byte's arrival is kept for what is read ahead, and a statement has no longer than the first of sixteen behind it can wait. Now 16 messages are read ahead while memory is plenty, beyond that the client has to wait, and nothing is dropped.

--- a/crates/ottersill/src/memory/clients.rs
+++ b/crates/ottersill/src/memory/clients.rs
@@ -1,5 +1,6 @@
 //! Client connections.
 
+use std::collections::VecDeque;
 use std::rc::Rc;
 
 use bytes::BytesMut;
@@ -43,27 +44,62 @@
 pub struct Client {
     pub session: Session,
     pub since: f64,
-    /// When the message that is coming in began, or the connection, until a first statement has come.
+    /// When the connection began.
     pub begun: f64,
     pub alarm: Option<Set>,
     /// When it was last looked at for bytes, or its end.
     pub looked_at: f64,
-    /// Bytes dropped, of a flood or since it was shut.
+    /// Bytes dropped since it was shut.
     pub dropped: usize,
     /// False if it was let in only to be told that there is no room.
     pub welcome: bool,
     pub socket: Rc<Socket>,
     pub token: RegistrationToken,
-    /// May hold further queries that a client sent ahead; at most one message is read ahead.
+    /// May hold further queries that a client sent ahead.
     pub inbox: BytesMut,
+    /// When what is in the inbox came: so many bytes at that time, the oldest first. Emptied with the inbox.
+    pub arrivals: VecDeque<(usize, f64)>,
     /// Holds one answer at most, as the next query waits for it to go out.
     pub outbox: Outbox,
     /// More may be there to read, and no further readiness will tell of it.
     pub unread: bool,
-    /// It has sent more ahead of its statement's answer than is kept, which is dropped: told so after that answer.
-    pub flooded: bool,
     /// It has sent a statement before.
     pub used: bool,
     /// Bytes counted for it in [`Exchange::stored`](crate::wire::exchange::Exchange).
     pub stored: usize,
 }
+
+/// Arrivals told apart for one client; what comes beyond counts as come with the last of these.
+const ARRIVALS: usize = 64;
+
+impl Client {
+    /// Has the arrivals match the inbox, after each reading into it and each taking out of it.
+    pub fn match_arrivals(&mut self, now: f64) {
+        let noted: usize = self.arrivals.iter().map(|(bytes, _)| bytes).sum();
+        let more = self.inbox.len().saturating_sub(noted);
+        let full = self.arrivals.len() >= ARRIVALS;
+        match self.arrivals.back_mut() {
+            Some((bytes, _)) if full => *bytes += more,
+            _ if more > 0 => self.arrivals.push_back((more, now)),
+            _ => {}
+        }
+        let mut less = noted.saturating_sub(self.inbox.len());
+        while let Some((bytes, _)) = self.arrivals.front_mut().filter(|_| less > 0) {
+            let taken = less.min(*bytes);
+            (*bytes, less) = (*bytes - taken, less - taken);
+            if *bytes == 0 {
+                self.arrivals.pop_front();
+            }
+        }
+    }
+
+    /// When that byte of the inbox came.
+    pub fn arrived(&self, at: usize, now: f64) -> f64 {
+        let mut end = 0;
+        let mark = self.arrivals.iter().find(|(bytes, _)| {
+            end += bytes;
+            at < end
+        });
+        mark.map_or(now, |(_, came)| *came)
+    }
+}
--- a/crates/ottersill/src/wire/client_side.rs
+++ b/crates/ottersill/src/wire/client_side.rs
@@ -1,5 +1,6 @@
 //! Clients: their connections, their queries, their answers.
 
+use std::collections::VecDeque;
 use std::io::ErrorKind;
 use std::net::Shutdown;
 
@@ -17,7 +18,7 @@
 use crate::wire::exchange::{Exchange, LEEWAY, Party};
 use crate::wire::frame::{self, Code, Startup};
 use crate::wire::socket::{self, Got, Outbox};
-use crate::wire::statement::Text;
+use crate::wire::statement::{Text, glance_at_time_left};
 
 /// Accepted in one turn, so that a crowd of new connections holds up no answer.
 const ACCEPTS: usize = 64;
@@ -28,11 +29,15 @@
 const OWED: f64 = 3.0;
 /// Who waits at the door for a descriptor is looked at again after so many seconds.
 const DOOR: f64 = 0.25;
-/// Read and dropped of a client whose connection is shut, before it is closed all the same; and of one that floods, before
-/// it has to wait.
+/// Read and dropped of a client whose connection is shut, before it is closed all the same.
 const DROPPED: usize = 16 * frame::LONGEST;
-/// Read ahead of the answer to the statement in hand while memory is plenty, so that the client's end is seen behind it.
-const AHEAD: usize = 4 * frame::LONGEST;
+/// Read ahead of the answer to the statement in hand while memory is plenty, so that the client's end is seen behind it, and
+/// those are seen that have to be answered before that one has had its time. What is beyond waits at the client: it counts
+/// as taken, and is never dropped.
+const AHEAD: usize = BEHIND * frame::LONGEST;
+/// Statements sent behind one that are looked at before it is sent: their number bounds what each costs; those further behind
+/// are looked at as it gets shorter.
+const BEHIND: usize = 16;
 /// A connection that is shut is closed after so many seconds: a client's end takes one way there and one back.
 pub const CLOSING: f64 = 1.0;
 
@@ -122,9 +127,9 @@
                 socket,
                 token,
                 inbox,
+                arrivals: VecDeque::new(),
                 outbox,
                 unread: false,
-                flooded: false,
                 used: false,
                 stored: 0,
             });
@@ -171,9 +176,8 @@
             Session::Busy(_) => f64::INFINITY,
             Session::Closing => client.since + CLOSING,
             // Nothing that was sent ahead is cut off, and an answer that nobody reads is no reason to stay.
-            Session::Greeting | Session::Idle if !client.inbox.is_empty() || !client.used => {
-                client.begun + owed
-            }
+            Session::Greeting | Session::Idle if !client.used => client.begun + owed,
+            Session::Idle if !client.inbox.is_empty() => client.arrived(0, self.now).max(client.since) + owed,
             Session::Idle if !client.outbox.is_empty() => client.since + owed,
             _ => client.since + IDLE,
         }
@@ -287,9 +291,6 @@
     pub fn client_is_ready(&mut self, id: usize) {
         let Some(client) = self.clients.get_mut(id) else { return };
         client.looked_at = self.now;
-        if client.inbox.is_empty() && client.used {
-            client.begun = self.now;
-        }
         let busy = matches!(client.session, Session::Busy(_));
         let plenty = self.stored < self.berths.bytes / 2;
         // One message ahead of the one in hand at least.
@@ -304,20 +305,15 @@
             Ok(Got::More) if socket::has_ended(&client.socket) => return self.close_client(id),
             Ok(Got::More) => {
                 client.unread = true;
-                client.flooded |= busy && client.inbox.len() >= AHEAD;
                 // Its end may be on its way still, held up by what is not read. Where memory is short it has to wait.
-                let reads_on = client.flooded || client.inbox.len() < most;
-                if busy && reads_on && client.dropped < DROPPED {
+                if busy && client.inbox.len() < most {
                     self.again(Party::Client(id));
                 }
             }
             Ok(Got::End) | Err(_) => return self.close_client(id),
         }
         let client = &mut self.clients[id];
-        if client.flooded {
-            client.dropped += client.inbox.len();
-            client.inbox.clear();
-        }
+        client.match_arrivals(self.now);
         self.read_queries(id);
     }
 
@@ -333,9 +329,11 @@
         loop {
             self.weigh(id);
             let Some(client) = self.clients.get_mut(id) else { return };
+            client.match_arrivals(self.now);
             if !client.outbox.is_empty() {
                 return;
             }
+            let came = client.arrived(0, self.now);
             let step = match client.session {
                 Session::Busy(_) => return,
                 Session::Leaving => return self.close_client(id),
@@ -351,9 +349,10 @@
                     }
                     return self.weigh(id);
                 }
-                Session::Idle if client.flooded => Err("more was sent ahead of an answer than is kept"),
                 Session::Greeting => frame::startup(&mut client.inbox).map(|s| s.map(|s| self.greet(id, s))),
-                Session::Idle => frame::message(&mut client.inbox).map(|m| m.map(|m| self.query(id, m))),
+                Session::Idle => {
+                    frame::message(&mut client.inbox).map(|m| m.map(|m| self.query(id, m, came)))
+                }
             };
             match step {
                 Ok(Some(())) => {}
@@ -390,14 +389,14 @@
         }
     }
 
-    fn query(&mut self, id: usize, message: frame::Message) {
+    fn query(&mut self, id: usize, message: frame::Message, came: f64) {
         match message.tag() {
             b'Q' => match message.query() {
                 Some(text) if text.iter().all(|byte| byte.is_ascii_whitespace() || *byte == b';') => {
                     self.counters.empty_queries += 1;
                     self.say(id, [frame::EMPTY.clone(), frame::READY.clone()]);
                 }
-                Some(text) => self.take_in(id, &text),
+                Some(text) => self.take_in(id, &text, came),
                 None => self.dismiss(id, Code::ProtocolViolation, "a query without its end"),
             },
             b'X' => self.session_passes(id, Session::Leaving),
@@ -405,7 +404,8 @@
         }
     }
 
-    fn take_in(&mut self, client: usize, text: &Bytes) {
+    /// `came` is when its first byte did: the client counts from there, however long those ahead of it took.
+    fn take_in(&mut self, client: usize, text: &Bytes, came: f64) {
         let scan = self.book.scan(text);
         let (told, said) = match Text::read(text, &scan) {
             Ok(read) => read,
@@ -440,8 +440,8 @@
             self.counters.strict += 1;
             self.log_strict(workload, text, &word);
         }
-        let until = self.now + said.time_left.min(self.names.timeouts[workload]);
-        let gives_up_at = until.min(self.stops_at);
+        let until = came + said.time_left.min(self.names.timeouts[workload]);
+        let gives_up_at = until.min(self.stops_at).min(self.due_behind(client));
         let time_left = (gives_up_at - self.now).max(0.0);
         let id = said.id;
         let stmt = Statement {
@@ -472,6 +472,23 @@
         });
     }
 
+    /// By when this statement has to be out of the way of those that its client has sent behind it: answers go out in order,
+    /// and one that waits for a longer one would come after its time.
+    fn due_behind(&mut self, id: usize) -> f64 {
+        let Some(client) = self.clients.get_mut(id) else { return f64::INFINITY };
+        client.match_arrivals(self.now);
+        let (mut at, mut due) = (0, f64::INFINITY);
+        for _ in 0..BEHIND {
+            let Some(whole) = frame::next_whole(&client.inbox[at..]) else { break };
+            let text = &client.inbox[at + 5..at + whole];
+            if let Some(time_left) = glance_at_time_left(text) {
+                due = due.min(client.arrived(at, self.now) + time_left);
+            }
+            at += whole;
+        }
+        due
+    }
+
     /// Why a statement of a reading workload goes to the primary: one line a second tells as much as all would.
     fn log_strict(&mut self, workload: usize, text: &[u8], word: &Word) {
         if self.now - self.strict_logged_at < 1.0 {
--- a/crates/ottersill/src/wire/frame.rs
+++ b/crates/ottersill/src/wire/frame.rs
@@ -90,6 +90,12 @@
     }
 }
 
+/// The length of the next message, if it is there whole, and in bounds; nothing is taken out.
+pub fn next_whole(inbox: &[u8]) -> Option<usize> {
+    let whole = 1 + length(inbox.get(1..5)?);
+    (5..=LONGEST).contains(&whole).then_some(whole).filter(|whole| inbox.len() >= *whole)
+}
+
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Startup {
     Version3,
--- a/crates/ottersill/src/wire/statement.rs
+++ b/crates/ottersill/src/wire/statement.rs
@@ -107,6 +107,19 @@
     }
 }
 
+/// Comments of this service are shorter; bytes.
+const COMMENT: usize = 512;
+
+/// The seconds that a client waits for a statement, read from the end of its text without looking at the rest: good enough
+/// to see to those ahead of it. [`Text::read`] tells whether the text is in order, once its turn has come.
+pub fn glance_at_time_left(text: &[u8]) -> Option<f64> {
+    let end = &text[text.len().saturating_sub(COMMENT)..];
+    let open = end.windows(2).rposition(|two| two == b"/*")?;
+    let comment = std::str::from_utf8(&end[open + 2..]).ok()?;
+    let digits = comment.split([',', '*']).find_map(|pair| pair.trim().strip_prefix("d="))?;
+    digits.parse::<u32>().ok().map(|ms| f64::from(ms) / 1000.0)
+}
+
 /// The first literal is the key, which names the session where there are any.
 fn session(literal: &str) -> Option<u64> {
     let key = literal.split('\'').nth(1)?;
