--- a/crates/core/src/decide.rs
+++ b/crates/core/src/decide.rs
@@ -287,7 +287,6 @@
         m.reports |= report.role.is_some() && self.terms.reports == Reports::WithAnswers;
         self.hear(now, host, report, false);
         self.place_waiting(now, self.members[host].listed.group, front);
-        self.poll(now, self.members[host].listed.group, front);
     }
 
     pub fn hosts(&mut self, now: f64, list: &[Listed], front: &mut impl Front) {
--- a/crates/core/tests/rarely_heard.rs
+++ b/crates/core/tests/rarely_heard.rs
@@ -298,6 +298,22 @@
     assert_eq!(probes(&world), 4, "a statement waits: all members of its group, at once");
 }
 
+/// A host that refuses at once was asked again with each refusal while a statement waited: 0.21 of G on a herd day.
+#[rstest]
+#[case::refused(Ending::ConnectFailed)]
+#[case::turned_away(Ending::Full)]
+fn a_refused_probe_is_not_sent_again_at_once(#[case] ending: Ending) {
+    let mut world = World::new(Terms { routers: 300, ..terms(true) });
+    world.ask(READ);
+    let probes = |world: &World| (0..4).map(|host| world.count(Done::Probe(host))).sum::<usize>();
+    let asked = probes(&world);
+    assert!(asked > 0);
+    for _ in 0..20 {
+        (0..4).for_each(|h| world.router.probed(world.now, h, ending, Report::default(), &mut world.book));
+    }
+    assert_eq!(probes(&world), asked, "no time has passed");
+}
+
 /// Where the fleet divides what may be out at a host, a router goes by its part.
 #[test]
 fn a_part_of_the_fleet_s_budget_bounds_what_is_out() {
