The test of a waiting read leaves no probe unanswered before it asks

The test dropped the probes of its first two seconds, so all replicas had one out and none could be asked; it had passed because each report asked on. Now each is turned away first.

--- a/crates/core/tests/decisions.rs
+++ b/crates/core/tests/decisions.rs
@@ -513,11 +513,17 @@
 #[case::no_answer(None, &[0])]
 fn a_read_that_waits_asks_a_replica(#[case] lag: Option<f64>, #[case] expected: &[usize]) {
     let mut world = World::settled(false, [0.0; 3]);
-    // The credit for probes is spent, and what was heard is too old.
+    // The credit for probes is spent, none is out, and what was heard is too old.
     for _ in 0..100 {
         world.pass(0.02);
-        world.book.0.clear();
+        for done in std::mem::take(&mut world.book.0) {
+            if let Done::Probe(host) = done {
+                world.router.probed(world.now, host, Ending::Full, Report::default(), &mut world.book);
+            }
+        }
     }
+    world.pass(0.3);
+    world.book.0.clear();
     let read = world.ask(READ);
     assert_eq!(world.sent_to(read), []);
     for _ in 0..4 {
