--- a/crates/ottersill/src/wire/client_side.rs
+++ b/crates/ottersill/src/wire/client_side.rs
@@ -312,8 +312,6 @@
             }
             Ok(Got::End) | Err(_) => return self.close_client(id),
         }
-        let client = &mut self.clients[id];
-        client.match_arrivals(self.now);
         self.read_queries(id);
     }
 
@@ -479,7 +477,7 @@
         client.match_arrivals(self.now);
         let (mut at, mut due) = (0, f64::INFINITY);
         for _ in 0..BEHIND {
-            let Some(whole) = frame::next_whole(&client.inbox[at..]) else { break };
+            let Ok(Some(whole)) = frame::whole(&client.inbox[at..]) else { break };
             let text = &client.inbox[at + 5..at + whole];
             if let Some(time_left) = glance_at_time_left(text) {
                 due = due.min(client.arrived(at, self.now) + time_left);
--- a/crates/ottersill/src/wire/frame.rs
+++ b/crates/ottersill/src/wire/frame.rs
@@ -79,23 +79,20 @@
 
 /// The next message, once it is there whole.
 pub fn message(inbox: &mut BytesMut) -> Result<Option<Message>, Nonsense> {
+    Ok(whole(inbox)?.map(|whole| Message(inbox.split_to(whole).freeze())))
+}
+
+/// The length of the next message, once it is there whole; nothing is taken out.
+pub fn whole(inbox: &[u8]) -> Result<Option<usize>, Nonsense> {
     if inbox.len() < 5 {
         return Ok(None);
     }
-    let whole = 1 + length(&inbox[1..5]);
-    match whole {
-        5..=LONGEST if inbox.len() >= whole => Ok(Some(Message(inbox.split_to(whole).freeze()))),
-        5..=LONGEST => Ok(None),
+    match 1 + length(&inbox[1..5]) {
+        whole @ 5..=LONGEST => Ok((inbox.len() >= whole).then_some(whole)),
         _ => Err("message length out of bounds"),
     }
 }
 
-/// The length of the next message, if it is there whole, and in bounds; nothing is taken out.
-pub fn next_whole(inbox: &[u8]) -> Option<usize> {
-    let whole = 1 + length(inbox.get(1..5)?);
-    (5..=LONGEST).contains(&whole).then_some(whole).filter(|whole| inbox.len() >= *whole)
-}
-
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Startup {
     Version3,
