review: silent connections keep other clients' statements unread (case 2)

Cause: a silent connection is exempt from being closed for its first 0.25 s, and the router stops accepting for 0.25 s once silent connections hold all places. Statements of other clients wait unread in the listen queue meanwhile. Change: review/2 shows it: 290 silent connections, 256 descriptors, 76 usual clients. Nothing is fixed.

--- a/review/rig/main.rs
+++ b/review/rig/main.rs
@@ -10,6 +10,7 @@
 mod record;
 mod router;
 mod settings;
+mod silent_clients;
 
 use std::process::exit;
 use std::sync::Arc;
@@ -32,6 +33,7 @@
     let record = Arc::new(Record::create(record));
     let is_kept = match case.as_str() {
         "extra-answers" => extra_answers::run(trouble, &record),
+        "silent-clients" => silent_clients::run(trouble, &record),
         _ => cannot_run("no such case"),
     };
     router::end_all();
