review: a slow discovery is never heard, drains are missed (case 3)

Cause: a call to discovery lives for 1.25 s at most with a drain grace of 250 ms, so answers that take longer are never read, and the endpoint list stays as it was for as long as discovery is slow. Change: review/3 shows it: discovery answers each call 1.6 s late (2 s are allowed), an endpoint drains. Nothing is fixed.

--- a/review/rig/main.rs
+++ b/review/rig/main.rs
@@ -11,6 +11,7 @@
 mod router;
 mod settings;
 mod silent_clients;
+mod slow_discovery;
 
 use std::process::exit;
 use std::sync::Arc;
@@ -34,6 +35,7 @@
     let is_kept = match case.as_str() {
         "extra-answers" => extra_answers::run(trouble, &record),
         "silent-clients" => silent_clients::run(trouble, &record),
+        "slow-discovery" => slow_discovery::run(trouble, &record),
         _ => cannot_run("no such case"),
     };
     router::end_all();
