review: pipelined commands take a router over its memory limit (now case 2)

Cause: while the memory for statements is short, each client with a request in flight is still read up to a whole message, and a statement that is complete after one read is accepted whatever is stored. Change: review/2 shows it; the silent clients are case 3 now.

--- a/review/2/run.sh
+++ b/review/2/run.sh
@@ -2,7 +2,7 @@
 # Exits with 1 if the rule was broken, 0 if it held, 2 if the case could not run. TROUBLE=0 leaves the disruption out.
 # Needs the build of deploy/balancer.toml and review/build.sh.
 set -u
-case_name=silent-clients
+case_name=pipelined-commands
 folder=$(cd "$(dirname "$0")" && pwd)
 cd "$folder/../.." || exit 2
 [ -x target/review/rig ] && [ -x target/release/ottersill ] || { echo "not built" >&2; exit 2; }
--- a/review/rig/client.rs
+++ b/review/rig/client.rs
@@ -94,7 +94,7 @@
     }
 }
 
-fn startup() -> Vec<u8> {
+pub fn startup() -> Vec<u8> {
     let parameters = b"user\0backend\0database\0store\0\0";
     let mut startup = Vec::new();
     startup.extend((8 + parameters.len() as u32).to_be_bytes());
--- a/review/rig/load.rs
+++ b/review/rig/load.rs
@@ -12,6 +12,8 @@
 pub struct Load {
     pub rows: AtomicU64,
     pub errors: AtomicU64,
+    /// The connection was ended without an answer: between requests a router may do so, and the client asks again.
+    pub ended: AtomicU64,
     pub without_answer: AtomicU64,
     stop: AtomicBool,
 }
@@ -38,6 +40,7 @@
         let load = Arc::new(Load {
             rows: AtomicU64::new(0),
             errors: AtomicU64::new(0),
+            ended: AtomicU64::new(0),
             without_answer: AtomicU64::new(0),
             stop: AtomicBool::new(false),
         });
@@ -78,7 +81,8 @@
         let (counter, shown) = match &answer {
             Answer::Row(_) => (&self.rows, "row".to_string()),
             Answer::Error(code, _) => (&self.errors, format!("error {code}")),
-            other => (&self.without_answer, format!("{other:?}")),
+            Answer::Ended => (&self.ended, "nothing: the connection ended".to_string()),
+            Answer::Nothing => (&self.without_answer, "nothing in time".to_string()),
         };
         counter.fetch_add(1, Ordering::SeqCst);
         record.line(&format!("answered id={id} {shown}"));
--- a/review/rig/main.rs
+++ b/review/rig/main.rs
@@ -6,12 +6,12 @@
 mod host;
 mod load;
 mod pg;
+mod pipelined_commands;
 mod proxy;
 mod record;
 mod router;
 mod settings;
 mod silent_clients;
-mod slow_discovery;
 
 use std::process::exit;
 use std::sync::Arc;
@@ -34,8 +34,8 @@
     let record = Arc::new(Record::create(record));
     let is_kept = match case.as_str() {
         "extra-answers" => extra_answers::run(trouble, &record),
+        "pipelined-commands" => pipelined_commands::run(trouble, &record),
         "silent-clients" => silent_clients::run(trouble, &record),
-        "slow-discovery" => slow_discovery::run(trouble, &record),
         _ => cannot_run("no such case"),
     };
     router::end_all();
