Send an empty query ahead of each statement, so that an extra answer is not served to the next client

Cause: a connection went back to the pool with ReadyForQuery, and whatever complete answer came next was taken as that of the next statement (Backends::next_event). Answers do not name their queries. A second copy that was still on its way when the next statement was written (write_assignment) was its answer. take_idle reads once more, which finds only what has arrived.

Change: each assignment, attempts and health checks alike, is preceded by an empty query in the same write. Its EmptyQueryResponse is the answer of no statement; anything else before it (ExpectedReply::Synchronization) closes the connection, and the statement counts as one that may have run. What that answer shows of role, position and load is reported to routing (RoutingEvent::EndpointReported), as the protocol page counts it as known. Ahead of a health check it is not reported separately, as the check's own answer follows at once. New counter backend_answers_unsolicited. Related paths: discovery is already correct (new test), the fleet link accepts a datagram once.

Why it works: an endpoint's answers come in the order of its queries, and the protocol page promises an answer at once and no effect for an empty query. Whatever the endpoint sent before it read the empty query comes before that answer.

Stand-ins: the scripted endpoint answers empty queries.

--- a/crates/ottersill/src/backend/connection.rs
+++ b/crates/ottersill/src/backend/connection.rs
@@ -64,6 +64,21 @@
     HealthCheck,
 }
 
+/// What the messages that arrive on a connection belong to. An answer does not name its query, and an endpoint may send more
+/// than one answer to a query. So an empty query is sent ahead of each assignment: whatever arrives before the answer to that
+/// query belongs to an earlier assignment.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ExpectedReply {
+    /// Nothing but notices and parameters, which an endpoint may send at any time.
+    Nothing,
+    /// The endpoint's greeting.
+    Greeting,
+    /// The answer to the empty query ahead of the assignment.
+    Synchronization,
+    /// The answer to the assignment.
+    Answer,
+}
+
 /// A connection to an endpoint. Times are Unix seconds.
 pub struct BackendConnection {
     /// The endpoint's index.
@@ -78,6 +93,8 @@
     pub deadline: f64,
     /// When the time left that was written into the statement was computed.
     pub time_left_sent_at: f64,
+    /// Whether the empty query ahead of the assignment is answered.
+    pub is_synchronized: bool,
     /// When the connection became idle. Kept separately from `assigned_at`, as idle time must not shorten the time of an
     /// assignment.
     pub idle_since: f64,
@@ -94,3 +111,18 @@
     /// The endpoint's answer, as far as it was read.
     pub reply: Reply,
 }
+
+impl BackendConnection {
+    /// Returns what the next message belongs to.
+    pub fn expected_reply(&self) -> ExpectedReply {
+        match self.state {
+            ConnectionState::Greeting => ExpectedReply::Greeting,
+            // The endpoint may answer the empty query before the assignment is fully written.
+            ConnectionState::Sending | ConnectionState::Sent if !self.is_synchronized => {
+                ExpectedReply::Synchronization
+            }
+            ConnectionState::Sent => ExpectedReply::Answer,
+            _ => ExpectedReply::Nothing,
+        }
+    }
+}
--- a/crates/ottersill/src/backend/mod.rs
+++ b/crates/ottersill/src/backend/mod.rs
@@ -10,7 +10,7 @@
 use std::io;
 
 use ottersill_config::deployment::BackendTimeouts;
-use ottersill_routing::interface::AttemptOutcome;
+use ottersill_routing::interface::{AttemptOutcome, LoadReport};
 
 use crate::backend::connection::{Assignment, BackendConnection};
 use crate::backend::reply::Reply;
@@ -31,6 +31,19 @@
     pub reply: Reply,
 }
 
+/// What an endpoint's answer to the empty query ahead of an assignment shows.
+#[derive(Clone, Copy, Debug)]
+pub struct Synchronization {
+    /// The assignment, if it was not withdrawn.
+    pub assignment: Option<Assignment>,
+    /// The endpoint's index.
+    pub endpoint: usize,
+    /// Role and replication position from the answer itself.
+    pub observed: LoadReport,
+    /// The load report that came with the answer.
+    pub load_report: Option<LoadReport>,
+}
+
 /// The state of a connection after it was written and read. The caller then handles the messages that were read by
 /// [`Backends::next_event`], and calls [`Backends::end_transfer`] after that.
 #[derive(Debug)]
@@ -50,6 +63,8 @@
 pub enum BackendEvent {
     /// The startup is complete: the assignment for which the connection was opened may be sent.
     Up,
+    /// The endpoint has answered the empty query ahead of the connection's assignment.
+    Synchronized(Synchronization),
     /// The connection's assignment has ended.
     Finished(FinishedAssignment),
     /// The connection's assignment has ended, and the connection is closed.
--- a/crates/ottersill/src/backend/pool.rs
+++ b/crates/ottersill/src/backend/pool.rs
@@ -91,6 +91,7 @@
             assigned_at: now,
             deadline,
             time_left_sent_at: now,
+            is_synchronized: false,
             idle_since: now,
             socket,
             token,
--- a/crates/ottersill/src/backend/reply.rs
+++ b/crates/ottersill/src/backend/reply.rs
@@ -102,6 +102,11 @@
         self.code.is_none() && self.description.is_none() && self.complete.is_none()
     }
 
+    /// Returns whether an empty query was answered.
+    pub fn answers_empty_query(&self) -> bool {
+        self.code.is_none() && self.row.is_none() && self.complete.is_some()
+    }
+
     /// Returns whether the row and its CommandComplete were received without an error, whatever comes after them.
     pub fn is_completed(&self) -> bool {
         self.code.is_none() && self.row.is_some() && self.complete.is_some()
--- a/crates/ottersill/src/backend/sending.rs
+++ b/crates/ottersill/src/backend/sending.rs
@@ -12,8 +12,8 @@
 use crate::reactor::Context;
 
 impl Backends {
-    /// Puts the connection's assignment into its outbox, with the time left at `time`, which the caller has just read from the
-    /// clock; [`flush`](Self::flush) sends it. Returns the assignment's deadline.
+    /// Puts an empty query and the connection's assignment into its outbox, with the time left at `time`, which the caller has
+    /// just read from the clock; [`flush`](Self::flush) sends them. Returns the assignment's deadline.
     pub fn write_assignment(
         &mut self,
         id: usize,
@@ -24,6 +24,8 @@
         let connection = &mut self.table[id];
         connection.reply = Reply::default();
         connection.time_left_sent_at = time;
+        connection.is_synchronized = false;
+        connection.outbox.push(frame::EMPTY_QUERY.clone());
         let deadline = connection.deadline;
         match connection.assignment {
             Some(Assignment::Request(request_id)) => {
--- a/crates/ottersill/src/backend/session.rs
+++ b/crates/ottersill/src/backend/session.rs
@@ -5,9 +5,9 @@
 
 use ottersill_routing::interface::AttemptOutcome;
 
-use crate::backend::connection::{Assignment, ConnectionState};
+use crate::backend::connection::{Assignment, ConnectionState, ExpectedReply};
 use crate::backend::pool::log_connection_failure;
-use crate::backend::{BackendEvent, Backends, FinishedAssignment, TransferEnd};
+use crate::backend::{BackendEvent, Backends, FinishedAssignment, Synchronization, TransferEnd};
 use crate::discovery::registry::EndpointRegistry;
 use crate::protocol::frame;
 use crate::protocol::frame::ProtocolError;
@@ -65,13 +65,20 @@
                 Ok(Some(message)) => connection.reply.add(message),
                 Err(error) => Err(error),
             };
-            match (taken, connection.state) {
-                (Ok(false), ConnectionState::Idle) if connection.reply.is_empty() => {}
-                (Ok(false), ConnectionState::Greeting | ConnectionState::Sent) => {}
-                (Ok(true), ConnectionState::Greeting) => return self.on_greeted(id, endpoints, context),
-                (Ok(true), ConnectionState::Sent) => {
+            let reply = &connection.reply;
+            match (taken, connection.expected_reply()) {
+                (Ok(false), ExpectedReply::Nothing | ExpectedReply::Synchronization) if reply.is_empty() => {}
+                (Ok(false), ExpectedReply::Synchronization) if reply.answers_empty_query() => {}
+                (Ok(true), ExpectedReply::Synchronization) if reply.answers_empty_query() => {
+                    return BackendEvent::Synchronized(self.on_synchronized(id));
+                }
+                // No assignment is an empty query.
+                (Ok(false), ExpectedReply::Answer) if !reply.answers_empty_query() => {}
+                (Ok(true), ExpectedReply::Answer) => {
                     return BackendEvent::Finished(self.on_reply_complete(id, context));
                 }
+                (Ok(false), ExpectedReply::Greeting) => {}
+                (Ok(true), ExpectedReply::Greeting) => return self.on_greeted(id, endpoints, context),
                 (Err(error), _) => return self.on_protocol_error(id, &error, endpoints, context),
                 _ => {
                     let error = ProtocolError::UnsolicitedAnswer;
@@ -116,6 +123,19 @@
         BackendEvent::Finished(self.fail(id, "the endpoint refused the connection", endpoints, context))
     }
 
+    /// Handles the answer to the empty query ahead of the connection's assignment: the assignment's own answer is next.
+    fn on_synchronized(&mut self, id: usize) -> Synchronization {
+        let connection = &mut self.table[id];
+        connection.is_synchronized = true;
+        let reply = mem::take(&mut connection.reply);
+        Synchronization {
+            assignment: connection.assignment,
+            endpoint: connection.endpoint,
+            observed: reply.piggybacked,
+            load_report: reply.load_report,
+        }
+    }
+
     /// Handles the complete answer to the connection's assignment. The connection is kept.
     fn on_reply_complete(&mut self, id: usize, context: &mut Context) -> FinishedAssignment {
         let reply = mem::take(&mut self.table[id].reply);
@@ -135,6 +155,7 @@
     ) -> BackendEvent {
         let reason = &error.to_string();
         context.counters.backend_protocol_errors += 1;
+        context.counters.backend_answers_unsolicited += u64::from(*error == ProtocolError::UnsolicitedAnswer);
         if self.table[id].state != ConnectionState::Sent {
             return BackendEvent::Closed(self.fail(id, reason, endpoints, context));
         }
--- a/crates/ottersill/src/counters.rs
+++ b/crates/ottersill/src/counters.rs
@@ -59,6 +59,7 @@
     backend_connections_closed_by_endpoint: "Backend connections that the endpoint closed while they were idle.",
     attempts_without_descriptor: "Attempts for which no descriptor was left.",
     backend_protocol_errors: "Backend connections closed because the endpoint violated the protocol.",
+    backend_answers_unsolicited: "Of these, connections on which an answer arrived that belongs to no query.",
     health_checks: "Health checks started.",
     health_checks_failed: "Health checks that ended without a load report.",
     fleet_quota_refusals: "Attempts, health checks and connections not started because the fleet's budgets had no quota left.",
--- a/crates/ottersill/src/event_loop/attempts.rs
+++ b/crates/ottersill/src/event_loop/attempts.rs
@@ -2,11 +2,12 @@
 //! withdraws them.
 
 use ottersill_config::fleet::BudgetKind;
+use ottersill_routing::facade::RoutingEvent;
 use ottersill_routing::interface::{AttemptOutcome, LoadReport};
 
-use crate::backend::BackendEvent;
 use crate::backend::connection::{Assignment, BackendConnection, ConnectionState};
 use crate::backend::reply::Reply;
+use crate::backend::{BackendEvent, Synchronization};
 use crate::event_loop::EventLoop;
 use crate::in_flight::RequestPhase;
 use crate::protocol::socket;
@@ -161,6 +162,7 @@
         loop {
             match self.backends.next_event(id, &mut self.endpoints, &mut self.context) {
                 BackendEvent::Up => self.on_backend_up(id),
+                BackendEvent::Synchronized(synchronization) => self.on_synchronized(&synchronization),
                 BackendEvent::Finished(finished) => self.finish_assignment(finished),
                 BackendEvent::Closed(finished) => {
                     self.finish_assignment(finished);
@@ -172,6 +174,18 @@
         }
     }
 
+    /// Reports what an endpoint shows in the answer to the empty query ahead of an attempt, whose own answer may take long or never
+    /// arrive. Ahead of a health check it is left to the health check, which is answered at once.
+    fn on_synchronized(&mut self, synchronization: &Synchronization) {
+        if synchronization.assignment != Some(Assignment::HealthCheck) {
+            self.report(RoutingEvent::EndpointReported {
+                endpoint: synchronization.endpoint,
+                observed: synchronization.observed,
+                report: synchronization.load_report,
+            });
+        }
+    }
+
     /// Handles a completed connection startup: sends the assignment for which the connection was opened, unless it may no
     /// longer be sent.
     fn on_backend_up(&mut self, id: usize) {
--- a/crates/ottersill/src/protocol/frame.rs
+++ b/crates/ottersill/src/protocol/frame.rs
@@ -167,6 +167,8 @@
 pub static EMPTY_QUERY_RESPONSE: Bytes = Bytes::from_static(b"I\0\0\0\x04");
 /// The answer that refuses a request for encryption.
 pub static ENCRYPTION_REFUSED: Bytes = Bytes::from_static(b"N");
+/// An empty query, which an endpoint answers at once and which has no effect.
+pub static EMPTY_QUERY: Bytes = Bytes::from_static(b"Q\0\0\0\x05\0");
 /// The query of a health check.
 pub static SHOW_HEALTH: Bytes = Bytes::from_static(b"Q\0\0\0\x10SHOW health\0");
 /// Terminate.
--- a/crates/ottersill/tests/discovery_watch.rs
+++ b/crates/ottersill/tests/discovery_watch.rs
@@ -104,6 +104,19 @@
     assert!(next.request_line.contains("since=2"), "{}", next.request_line);
 }
 
+/// A second copy of a list crosses the next call on its connection and is taken as the answer to it. It changes nothing, and the
+/// next list is applied.
+#[test]
+fn a_second_copy_of_a_list_hides_no_later_list() {
+    let fixture = Fixture::start(&[]);
+    let unchanged = fixture.endpoint_list(2, "active", "active");
+    let mut call = fixture.discovery.next_call();
+    call.write(&format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{unchanged}", unchanged.len()));
+    call.answer(&unchanged);
+    fixture.discovery.serve_list(3, &fixture.endpoint_list(3, "active", "leaving"));
+    fixture.assert_read_avoids_draining_replica();
+}
+
 /// Guards against learning of draining endpoints after their drain grace: discovery is down for some seconds and
 /// answers no call that arrived meanwhile. With one call each second, drains were known 0.8 s late, while attempts may
 /// be sent for 0.25 s.
--- a/crates/routing/src/facade.rs
+++ b/crates/routing/src/facade.rs
@@ -71,6 +71,15 @@
         /// What the endpoint reported, if it answered.
         report: LoadReport,
     },
+    /// An endpoint reported its state without the end of an attempt or health check.
+    EndpointReported {
+        /// The endpoint.
+        endpoint: usize,
+        /// What its answer itself shows.
+        observed: LoadReport,
+        /// The load report that came with the answer.
+        report: Option<LoadReport>,
+    },
     /// The endpoint list, or those of its entries that have changed.
     EndpointList(&'a [EndpointUpdate]),
     /// The quotas that the fleet grants this router.
@@ -164,9 +173,7 @@
         self.pending.now = now;
         match event {
             RoutingEvent::AttemptEnded { request, endpoint, outcome, elapsed, observed, report } => {
-                let observed = self.convert_report(now, endpoint, PositionSource::Answer, observed);
-                let report =
-                    report.map(|report| self.convert_report(now, endpoint, PositionSource::Report, report));
+                let (observed, report) = self.convert_answer(now, endpoint, observed, report);
                 let slot = &mut self.pending.slots[request];
                 let known = slot.is_taken && slot.in_flight > 0;
                 self.pending.check_invariant(known, "an attempt that was picked ends once");
@@ -192,6 +199,10 @@
                 let report = self.convert_report(now, endpoint, PositionSource::Report, report);
                 self.router.on_health_check(now, endpoint, outcome, report, &mut self.pending);
             }
+            RoutingEvent::EndpointReported { endpoint, observed, report } => {
+                let (observed, report) = self.convert_answer(now, endpoint, observed, report);
+                self.router.on_endpoint_report(now, endpoint, observed, report, &mut self.pending);
+            }
             RoutingEvent::EndpointList(list) => {
                 let list = self.times.local_updates(now, list);
                 self.router.on_endpoint_list(now, &list, &mut self.pending);
@@ -202,6 +213,19 @@
         }
     }
 
+    /// Converts what an answer shows, and the load report that came with it, to the router's clock.
+    fn convert_answer(
+        &mut self,
+        now: f64,
+        endpoint: usize,
+        observed: LoadReport,
+        report: Option<LoadReport>,
+    ) -> (LoadReport, Option<LoadReport>) {
+        let observed = self.convert_report(now, endpoint, PositionSource::Answer, observed);
+        let report = report.map(|report| self.convert_report(now, endpoint, PositionSource::Report, report));
+        (observed, report)
+    }
+
     /// Converts the position in a report to the router's clock. The position itself may change what is known of the
     /// clock offset.
     fn convert_report(
--- a/crates/routing/src/feedback.rs
+++ b/crates/routing/src/feedback.rs
@@ -42,13 +42,7 @@
             // The endpoint would reject the next read too. If it waits before it rejects, that read would be late.
             self.endpoints[id].position.record_rejected_read();
         }
-        self.apply_report(now, id, result.observed, true);
-        if let Some(report) = result.report {
-            if report.role.is_some() {
-                self.endpoints[id].role.record_sends_reports();
-            }
-            self.apply_report(now, id, report, false);
-        }
+        self.apply_answer(now, id, result.observed, result.report);
         // An endpoint that reports being the primary in the same answer refused the statement, not the role.
         let claims_primary = result.observed.role == Some(Role::Primary);
         if is_refused && needs_primary && !claims_primary {
--- a/crates/routing/src/monitoring.rs
+++ b/crates/routing/src/monitoring.rs
@@ -40,6 +40,23 @@
         }
     }
 
+    /// Applies what an answer shows about its endpoint, and the load report that came with it.
+    pub(crate) fn apply_answer(
+        &mut self,
+        now: f64,
+        id: EndpointId,
+        observed: LoadReport,
+        report: Option<LoadReport>,
+    ) {
+        self.apply_report(now, id, observed, true);
+        if let Some(report) = report {
+            if report.role.is_some() {
+                self.endpoints[id].role.record_sends_reports();
+            }
+            self.apply_report(now, id, report, false);
+        }
+    }
+
     /// Records that the endpoint is not the primary, because it refused a request that a primary accepts.
     pub(crate) fn record_not_primary(&mut self, now: f64, id: EndpointId) {
         let endpoint = &mut self.endpoints[id];
--- a/crates/routing/src/router.rs
+++ b/crates/routing/src/router.rs
@@ -107,6 +107,22 @@
         }
     }
 
+    /// Handles what an endpoint reported without the end of an attempt or health check: `observed` is what its answer
+    /// itself shows, `report` the load report that came with it.
+    pub fn on_endpoint_report(
+        &mut self,
+        now: f64,
+        endpoint: usize,
+        observed: LoadReport,
+        report: Option<LoadReport>,
+        transport: &mut impl Transport,
+    ) {
+        let id = EndpointId::new(endpoint);
+        self.state.apply_answer(now, id, observed, report);
+        let group = self.state.endpoints[id].group();
+        self.state.dispatch_waiting(now, group, transport);
+    }
+
     /// Applies the endpoint list, or those of its entries that have changed. New endpoints appear in the order of their
     /// indices, or reuse the indices of forgotten endpoints.
     pub fn on_endpoint_list(&mut self, now: f64, list: &[EndpointUpdate], transport: &mut impl Transport) {
--- a/crates/routing/tests/facade.rs
+++ b/crates/routing/tests/facade.rs
@@ -74,6 +74,18 @@
     );
 }
 
+/// An endpoint may show its role while an attempt is in flight there, and never answer the attempt.
+#[test]
+fn a_report_moves_the_primary_while_an_attempt_is_in_flight() {
+    let mut facade = facade(&BOTH_REPORT);
+    let (_, decision) = facade.pick(100.0, PickRequest::New(request(READ, 2.0)));
+    assert_eq!(decision, Decision::Dispatch { endpoint: 1, timeout: 0.0 });
+    let observed = LoadReport { role: Some(Role::Primary), lsn: Some(100.2), utilization: None };
+    facade.report(100.2, RoutingEvent::EndpointReported { endpoint: 1, observed, report: None });
+    let (_, decision) = facade.pick(100.2, PickRequest::New(request(WRITE, 2.0)));
+    assert_eq!(decision, Decision::Dispatch { endpoint: 1, timeout: 0.0 });
+}
+
 #[test]
 fn a_request_that_waits_too_long_is_named_and_rejected() {
     let mut facade = facade(&[]);
--- a/crates/testkit/src/scripted_peer/endpoint.rs
+++ b/crates/testkit/src/scripted_peer/endpoint.rs
@@ -1,4 +1,4 @@
-//! An endpoint that answers health checks by itself and statements under the control of the test.
+//! An endpoint that answers health checks and empty queries by itself and statements under the control of the test.
 
 use std::io::{self, ErrorKind, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
@@ -9,8 +9,8 @@
 
 use crate::clock::unix_ms;
 use crate::stand_in::pg_messages::{
-    HEALTH_QUERY, MAX_BODY_BYTES, authentication_ok, error_response, health_report, query_text, read_body,
-    read_startup, ready_for_query, single_row,
+    HEALTH_QUERY, MAX_BODY_BYTES, authentication_ok, empty_query_response, error_response, health_report,
+    query_text, read_body, read_startup, ready_for_query, single_row,
 };
 use crate::sync::lock;
 
@@ -65,6 +65,12 @@
         greeting
     }
 
+    fn empty_query_answer(&self) -> Vec<u8> {
+        let mut answer = empty_query_response();
+        answer.extend(self.ready_messages());
+        answer
+    }
+
     fn health_report(&self) -> Vec<u8> {
         let mut report = health_report(self.is_primary, self.position_ms());
         report.extend(self.ready_messages());
@@ -77,7 +83,20 @@
     changed: Condvar,
 }
 
-/// An endpoint that answers health checks by itself and statements under the control of the test.
+/// An answer that an endpoint sends although no query asks for it.
+#[derive(Clone, Copy, Debug)]
+pub enum ExtraAnswer {
+    /// One row with this value.
+    Row(&'static str),
+    /// An error with this SQLSTATE.
+    Error(&'static str),
+    /// The answer to a health check.
+    HealthReport,
+    /// The answer to an empty query.
+    EmptyQuery,
+}
+
+/// An endpoint that answers health checks and empty queries by itself and statements under the control of the test.
 pub struct ScriptedEndpoint {
     /// The address at which the endpoint listens.
     pub address: SocketAddr,
@@ -271,7 +290,7 @@
     lock(&shared.state).idle -= 1;
 }
 
-/// Answers health checks until a statement is received, and returns the statement. Returns `None` if the connection has ended,
+/// Answers health checks and empty queries until a statement is received, and returns the statement. Returns `None` if the connection has ended,
 /// or is to be ended because connections are not greeted or the fault with the index `fault_index` has been requested.
 fn next_statement(socket: &mut TcpStream, shared: &Shared, fault_index: usize) -> Option<String> {
     loop {
@@ -280,12 +299,13 @@
             return None;
         }
         let text = query_text(&body);
-        if text != HEALTH_QUERY {
-            return Some(text);
-        }
-        let report = lock(&shared.state).health_report();
+        let answer = match text.as_str() {
+            "" => lock(&shared.state).empty_query_answer(),
+            HEALTH_QUERY => lock(&shared.state).health_report(),
+            _ => return Some(text),
+        };
         // If the router has closed the connection, the next read fails.
-        let _ = socket.write_all(&report);
+        let _ = socket.write_all(&answer);
     }
 }
 
@@ -313,8 +333,8 @@
 impl ReceivedStatement {
     /// Answers with one row and continues to serve the connection.
     pub fn answer(self, value: &str) {
-        let tag = if self.text.starts_with("SELECT") { "SELECT 1" } else { "INSERT 0 1" };
-        self.send_answer(single_row(value.as_bytes(), tag));
+        let answer = self.row(value);
+        self.send_answer(answer);
     }
 
     /// Answers with an error with the given SQLSTATE and continues to serve the connection.
@@ -322,6 +342,29 @@
         self.send_answer(error_response(code, ERROR_TEXT));
     }
 
+    /// Answers with one row, and sends a further answer that belongs to no query. The further answer crosses the router's next
+    /// query: it is written once the first bytes of that query have arrived, but before any of them is read.
+    pub fn answer_and_send_extra(self, value: &str, extra: ExtraAnswer) {
+        let mut extra_answer = match extra {
+            ExtraAnswer::Row(extra_value) => self.row(extra_value),
+            ExtraAnswer::Error(code) => error_response(code, ERROR_TEXT),
+            ExtraAnswer::HealthReport => lock(&self.shared.state).health_report(),
+            ExtraAnswer::EmptyQuery => empty_query_response(),
+        };
+        extra_answer.extend(lock(&self.shared.state).ready_messages());
+        let answer = self.row(value);
+        self.send_answer_then(answer, move |socket| {
+            // The connection may end instead.
+            let _ = socket.peek(&mut [0; 1]);
+            let _ = socket.write_all(&extra_answer);
+        });
+    }
+
+    fn row(&self, value: &str) -> Vec<u8> {
+        let tag = if self.text.starts_with("SELECT") { "SELECT 1" } else { "INSERT 0 1" };
+        single_row(value.as_bytes(), tag)
+    }
+
     /// Answers with an error with the given SQLSTATE and closes the connection.
     pub fn fail_and_close(mut self, code: &str) {
         let mut answer = error_response(code, ERROR_TEXT);
@@ -337,11 +380,23 @@
         let _ = reset(self.socket);
     }
 
-    fn send_answer(mut self, mut answer: Vec<u8>) {
+    fn send_answer(self, answer: Vec<u8>) {
+        self.send_answer_then(answer, |_| {});
+    }
+
+    /// Sends an answer, and continues to serve the connection after `before_next_query`.
+    fn send_answer_then(
+        mut self,
+        mut answer: Vec<u8>,
+        before_next_query: impl FnOnce(&mut TcpStream) + Send + 'static,
+    ) {
         answer.extend(lock(&self.shared.state).ready_messages());
         // If the router has closed the connection, the next read fails.
         let _ = self.socket.write_all(&answer);
-        let ReceivedStatement { socket, shared, statements, .. } = self;
-        thread::spawn(move || serve_idle(socket, &shared, &statements));
+        let ReceivedStatement { mut socket, shared, statements, .. } = self;
+        thread::spawn(move || {
+            before_next_query(&mut socket);
+            serve_idle(socket, &shared, &statements);
+        });
     }
 }
--- a/crates/testkit/src/stand_in/behaviour.rs
+++ b/crates/testkit/src/stand_in/behaviour.rs
@@ -17,7 +17,7 @@
     NeverAnswers,
     /// Answers statements with bytes that are not a message of the protocol.
     SendsInvalidMessage,
-    /// Closes the connection after each answer.
+    /// Closes the connection after each answer but that to an empty query.
     ClosesAfterAnswer,
     /// Accepts new connections but never completes their startup.
     NeverCompletesStartup,
--- a/crates/testkit/src/stand_in/connection.rs
+++ b/crates/testkit/src/stand_in/connection.rs
@@ -12,7 +12,7 @@
     read_startup, ready_for_query,
 };
 use super::shared_state::SharedState;
-use super::state::is_statement;
+use super::state::{is_empty_query, is_statement};
 
 /// Answer of an endpoint with [`Behaviour::SendsInvalidMessage`].
 const INVALID_MESSAGE: &[u8] = b"?what is this\0";
@@ -74,7 +74,9 @@
     let behaviour = store.lock().endpoints[endpoint].behaviour;
     if !is_statement(text) {
         let answer = execute(store, endpoint, text);
-        return reply_with(behaviour, with_ready_messages(store, endpoint, answer));
+        let answer = with_ready_messages(store, endpoint, answer);
+        // By the operators' protocol page an endpoint may close a connection after anything but an empty query.
+        return if is_empty_query(text) { Reply::Send(answer) } else { reply_with(behaviour, answer) };
     }
     store.lock().endpoints[endpoint].received.push(text.to_string());
     simulate_execution(store, endpoint, text);
--- a/crates/testkit/src/stand_in/state.rs
+++ b/crates/testkit/src/stand_in/state.rs
@@ -154,7 +154,7 @@
 
     /// Executes a statement at an endpoint and returns the result's messages.
     pub(super) fn execute(&mut self, endpoint: usize, text: &str) -> Vec<u8> {
-        if text.trim().is_empty() {
+        if is_empty_query(text) {
             return empty_query_response();
         }
         let is_primary = self.endpoints[endpoint].is_primary;
@@ -207,6 +207,11 @@
     text.contains("/*")
 }
 
+/// Whether a query is empty.
+pub(super) fn is_empty_query(text: &str) -> bool {
+    text.trim().is_empty()
+}
+
 /// Returns the hexadecimal `id` in a statement's comment; empty if there is none.
 fn statement_id(text: &str) -> String {
     let rest = text.split_once("id=").map_or("", |(_, rest)| rest);
