Bound the memory for clients' statements before each read, so that pipelining can't exceed the limit

Cause: the quarter of the memory that is for statements was counted and not kept. A client with a statement in flight was read up to a whole message ahead however little was left (client/session.rs, read), and a statement that was complete after one read was accepted whatever was stored; only an unfinished long statement of a client without a request was rejected. Buffers grew by doubling, and a statement kept the whole buffer that it was cut from.

The gauge statement_bytes_stored is in the line of counters now.

Change: ReadBuffer replaces its allocation by one whose size the caller limits, and counts what it and the messages cut from it keep. Clients::max_input_bytes allows each read 4 KiB always, a longer message only if the memory that is left holds all of it, and more ahead only from the first half. Anything else stays unread in the socket while a statement is in flight; otherwise the long statement gets 53300 at once, as before. Backend, discovery and control connections use the same buffer and release it when it is empty.

Why it works: all growth goes through one place that asks first, and the count is exact, so the sum is at most the limit and 8 KiB for each client.

--- a/crates/ottersill/src/backend/connection.rs
+++ b/crates/ottersill/src/backend/connection.rs
@@ -2,12 +2,12 @@
 
 use std::rc::Rc;
 
-use bytes::BytesMut;
 use calloop::RegistrationToken;
 use ottersill_routing::interface::AttemptOutcome;
 use socket2::Socket;
 
 use crate::backend::reply::Reply;
+use crate::protocol::read_buffer::ReadBuffer;
 use crate::protocol::socket::Outbox;
 use crate::timers::TimerHandle;
 
@@ -105,7 +105,7 @@
     /// The timer of the time by which the state has to change.
     pub timer: Option<TimerHandle>,
     /// Bytes that were read and not yet taken out as complete messages.
-    pub inbox: BytesMut,
+    pub inbox: ReadBuffer,
     /// Bytes that are left to write.
     pub outbox: Outbox,
     /// The endpoint's answer, as far as it was read.
--- a/crates/ottersill/src/backend/pool.rs
+++ b/crates/ottersill/src/backend/pool.rs
@@ -2,7 +2,6 @@
 
 use std::net::SocketAddr;
 
-use bytes::BytesMut;
 use ottersill_routing::interface::AttemptOutcome;
 use slog::info;
 
@@ -11,8 +10,9 @@
 use crate::backend::{Backends, FinishedAssignment};
 use crate::discovery::registry::EndpointRegistry;
 use crate::protocol::frame;
+use crate::protocol::read_buffer::{ReadBuffer, ReadOutcome};
 use crate::protocol::socket;
-use crate::protocol::socket::{Outbox, ReadOutcome};
+use crate::protocol::socket::Outbox;
 use crate::protocol::socket_failure::ConnectFailure;
 use crate::reactor::{Context, Source};
 use crate::timers::Timer;
@@ -52,7 +52,7 @@
                 self.close(id, context);
                 continue;
             }
-            let read = socket::read(&connection.socket, &mut connection.inbox, frame::MAX_MESSAGE_BYTES);
+            let read = connection.inbox.read(&connection.socket, frame::MAX_MESSAGE_BYTES);
             if matches!(read, Ok(ReadOutcome::Drained)) && connection.inbox.is_empty() {
                 return Some(id);
             }
@@ -96,7 +96,7 @@
             socket,
             token,
             timer: Some(timer),
-            inbox: BytesMut::new(),
+            inbox: ReadBuffer::default(),
             outbox: Outbox::default(),
             reply: Reply::default(),
         });
@@ -131,10 +131,7 @@
         self.set_state(id, ConnectionState::Idle, context.now() + self.idle_time(), context);
         let connection = &mut self.table[id];
         connection.idle_since = context.now();
-        if connection.inbox.is_empty() {
-            // The empty rest of the old buffer would keep the memory of all that was read with it.
-            connection.inbox = BytesMut::new();
-        }
+        connection.inbox.release_messages();
         self.table.push_idle(id);
     }
 
--- a/crates/ottersill/src/backend/session.rs
+++ b/crates/ottersill/src/backend/session.rs
@@ -11,8 +11,8 @@
 use crate::discovery::registry::EndpointRegistry;
 use crate::protocol::frame;
 use crate::protocol::frame::ProtocolError;
+use crate::protocol::read_buffer::ReadOutcome;
 use crate::protocol::socket;
-use crate::protocol::socket::ReadOutcome;
 use crate::reactor::{Context, Source};
 
 impl Backends {
@@ -30,7 +30,7 @@
         let wrote = self.flush(id, context);
         let connection = &mut self.table[id];
         // Reads even if the write failed: an answer that arrived before the failure still counts.
-        let read = socket::read(&connection.socket, &mut connection.inbox, frame::MAX_MESSAGE_BYTES);
+        let read = connection.inbox.read(&connection.socket, frame::MAX_MESSAGE_BYTES);
         Some(match read {
             Ok(ReadOutcome::Drained) if wrote => TransferEnd::Drained,
             Ok(ReadOutcome::MoreToRead) if wrote => TransferEnd::MoreToRead,
@@ -60,7 +60,7 @@
     ) -> BackendEvent {
         let Some(connection) = self.table.get_mut(id) else { return BackendEvent::Gone };
         loop {
-            let taken = match frame::take_message(&mut connection.inbox) {
+            let taken = match connection.inbox.take(frame::take_message) {
                 Ok(None) => return BackendEvent::AllRead,
                 Ok(Some(message)) => connection.reply.add(message),
                 Err(error) => Err(error),
--- a/crates/ottersill/src/client/answers.rs
+++ b/crates/ottersill/src/client/answers.rs
@@ -21,7 +21,7 @@
     pub fn answer<const N: usize>(&mut self, id: usize, slices: [Bytes; N], context: &mut Context) {
         self.set_phase(id, ConnectionPhase::Idle, context);
         self.send(id, slices, context);
-        self.table.count_stored_bytes(id, 0);
+        self.table.count_stored_bytes(id);
         let client = &self.table[id];
         if self.is_draining || client.may_have_unread || !client.inbox.is_empty() {
             context.wake(Source::Client(id));
--- a/crates/ottersill/src/client/close.rs
+++ b/crates/ottersill/src/client/close.rs
@@ -25,7 +25,7 @@
         client.discard_input();
         // Fails if the client has reset the connection, which is detected below.
         let _ = client.socket.shutdown(Shutdown::Write);
-        self.table.count_stored_bytes(id, 0);
+        self.table.count_stored_bytes(id);
         self.finish_close(id, context);
     }
 
--- a/crates/ottersill/src/client/connection.rs
+++ b/crates/ottersill/src/client/connection.rs
@@ -3,10 +3,10 @@
 use std::collections::VecDeque;
 use std::rc::Rc;
 
-use bytes::BytesMut;
 use calloop::RegistrationToken;
 use socket2::Socket;
 
+use crate::protocol::read_buffer::ReadBuffer;
 use crate::protocol::socket::Outbox;
 use crate::timers::TimerHandle;
 
@@ -75,7 +75,7 @@
     /// Token of the socket's registration with the event loop.
     pub token: RegistrationToken,
     /// Input that has been read but not processed; may hold further queries that the client has sent ahead.
-    pub inbox: BytesMut,
+    pub inbox: ReadBuffer,
     /// Arrival times of the bytes in `inbox`, oldest first: a number of bytes, and when they arrived. Emptied with the inbox.
     pub arrivals: VecDeque<(usize, f64)>,
     /// Output that is not written yet; holds at most one answer, because the next query waits until the answer is written.
@@ -84,8 +84,6 @@
     pub may_have_unread: bool,
     /// Whether the client has sent a statement on this connection.
     pub has_queried: bool,
-    /// Length of the statement in flight; meaningful only in [`ConnectionPhase::Busy`].
-    pub statement_bytes: usize,
     /// Bytes that [`ClientTable`](crate::client::table::ClientTable) counts for this connection.
     pub stored_bytes: usize,
 }
@@ -111,19 +109,18 @@
             is_admitted,
             socket: accepted.socket,
             token,
-            inbox: BytesMut::new(),
+            inbox: ReadBuffer::default(),
             arrivals: VecDeque::new(),
             outbox: Outbox::default(),
             may_have_unread: false,
             has_queried: false,
-            statement_bytes: 0,
             stored_bytes: 0,
         }
     }
 
     /// Discards the unprocessed input and releases its memory.
     pub fn discard_input(&mut self) {
-        self.inbox = BytesMut::new();
+        self.inbox.clear();
         self.arrivals = VecDeque::new();
         self.may_have_unread = false;
     }
--- a/crates/ottersill/src/client/mod.rs
+++ b/crates/ottersill/src/client/mod.rs
@@ -5,6 +5,7 @@
 mod close;
 pub mod connection;
 pub mod connection_limits;
+mod input_memory;
 mod limits;
 mod listener;
 mod pipelining;
@@ -96,6 +97,11 @@
         self.table.is_empty()
     }
 
+    /// Memory in use for statements, complete or not, in bytes.
+    pub fn stored_statement_bytes(&self) -> usize {
+        self.table.stored_statement_bytes()
+    }
+
     /// Sets the time by which all accepted requests have to be answered, in Unix seconds.
     pub fn set_answer_deadline(&mut self, answer_deadline: f64) {
         self.answer_deadline = answer_deadline;
--- a/crates/ottersill/src/client/session.rs
+++ b/crates/ottersill/src/client/session.rs
@@ -3,19 +3,13 @@
 use bytes::Bytes;
 
 use crate::client::connection::{ClientConnection, ConnectionPhase};
-use crate::client::pipelining::MAX_CHECKED_PIPELINED;
 use crate::client::{ClientEvent, Clients};
 use crate::protocol::frame;
 use crate::protocol::frame::{ErrorCode, ProtocolError, Startup};
+use crate::protocol::read_buffer::ReadOutcome;
 use crate::protocol::socket;
-use crate::protocol::socket::ReadOutcome;
 use crate::reactor::{Context, Source};
 
-/// Maximum number of bytes read ahead while a request is in flight and memory is plentiful. Reading ahead detects the end of
-/// the connection behind pipelined statements, and finds those whose deadline is earlier than that of the request in flight.
-/// Input beyond it is left unread; it counts as accepted, and is never dropped.
-const MAX_READ_AHEAD_BYTES: usize = MAX_CHECKED_PIPELINED * frame::MAX_MESSAGE_BYTES;
-
 /// A complete message of a client.
 enum ClientMessage {
     Startup(Startup),
@@ -25,10 +19,10 @@
 /// Removes the next message from the inbox of a client that has not sent its startup message yet or is between statements.
 fn take_message(client: &mut ClientConnection) -> Result<Option<ClientMessage>, ProtocolError> {
     if client.phase == ConnectionPhase::AwaitingStartup {
-        let startup = frame::take_startup(&mut client.inbox)?;
+        let startup = client.inbox.take(frame::take_startup)?;
         return Ok(startup.map(ClientMessage::Startup));
     }
-    let message = frame::take_message(&mut client.inbox)?;
+    let message = client.inbox.take(frame::take_message)?;
     Ok(message.map(ClientMessage::Regular))
 }
 
@@ -50,16 +44,11 @@
     }
 
     fn read(&mut self, id: usize, is_busy: bool, context: &mut Context) -> Option<ClientEvent> {
-        let memory_is_plentiful = self.table.stored_statement_bytes() < self.limits.statement_bytes / 2;
+        let max_bytes = self.max_input_bytes(id);
         let client = &mut self.table[id];
         client.last_read_at = context.now();
-        // The limit leaves room for at least one message beyond the request in flight.
-        let max_bytes =
-            if is_busy && memory_is_plentiful { MAX_READ_AHEAD_BYTES } else { frame::MAX_MESSAGE_BYTES };
-        let read = client
-            .outbox
-            .flush(&client.socket)
-            .and_then(|_| socket::read(&client.socket, &mut client.inbox, max_bytes));
+        let read =
+            client.outbox.flush(&client.socket).and_then(|_| client.inbox.read(&client.socket, max_bytes));
         match read {
             Ok(ReadOutcome::Drained) => client.may_have_unread = false,
             // The end of the connection is detected at once, without waiting until the input ahead of it has been read.
@@ -85,7 +74,7 @@
     #[must_use]
     pub fn next_event(&mut self, id: usize, context: &mut Context) -> Option<ClientEvent> {
         loop {
-            self.count_stored_bytes(id);
+            self.table.count_stored_bytes(id);
             let client = self.table.get_mut(id)?;
             client.sync_arrivals(context.clock.earliest_arrival_at());
             if !client.outbox.is_empty() {
@@ -124,10 +113,9 @@
         }
     }
 
-    /// Whether the memory limit for statements is exceeded and the client's unfinished message is longer than usual.
+    /// Whether memory is too short to read the rest of the client's unfinished message.
     fn lacks_memory_for(&self, id: usize) -> bool {
-        self.table.stored_statement_bytes() > self.limits.statement_bytes
-            && self.table[id].inbox.len() > frame::TYPICAL_MESSAGE_BYTES
+        self.table[id].inbox.len() >= self.max_input_bytes(id)
     }
 
     /// Waits for more input once all complete messages are answered: for the rest of an incomplete message, or for a new one.
@@ -197,27 +185,9 @@
         None
     }
 
-    /// Records that a request of the client is now in flight, with a statement of `statement_bytes` bytes.
-    pub fn begin_request(
-        &mut self,
-        id: usize,
-        request_id: usize,
-        statement_bytes: usize,
-        context: &mut Context,
-    ) {
+    /// Records that a request of the client is now in flight.
+    pub fn begin_request(&mut self, id: usize, request_id: usize, context: &mut Context) {
         self.set_phase(id, ConnectionPhase::Busy(request_id), context);
-        let client = &mut self.table[id];
-        client.statement_bytes = statement_bytes;
-        client.has_queried = true;
-    }
-
-    /// Updates the count of bytes stored for a client: input that was read ahead, and its request in flight.
-    fn count_stored_bytes(&mut self, id: usize) {
-        let Some(client) = self.table.get(id) else { return };
-        let request_bytes = match client.phase {
-            ConnectionPhase::Busy(_) => client.statement_bytes,
-            _ => 0,
-        };
-        self.table.count_stored_bytes(id, request_bytes);
+        self.table[id].has_queried = true;
     }
 }
--- a/crates/ottersill/src/client/table.rs
+++ b/crates/ottersill/src/client/table.rs
@@ -2,10 +2,9 @@
 
 use std::ops::{Index, IndexMut};
 
-use bytes::BytesMut;
 use slab::Slab;
 
-use crate::client::connection::ClientConnection;
+use crate::client::connection::{ClientConnection, ConnectionPhase};
 
 /// Client connections by id. The id of a removed connection is reused.
 #[derive(Default)]
@@ -60,20 +59,18 @@
         self.connections.is_empty()
     }
 
-    /// Bytes of statements, complete or not, that are stored for all connections.
+    /// Memory in use for statements, complete or not, of all connections, in bytes.
     pub fn stored_statement_bytes(&self) -> usize {
         self.stored_statement_bytes
     }
 
-    /// Updates the count of bytes stored for a connection: input that was read ahead, and the text of its request in flight,
-    /// which is `request_bytes` long. Buffers grow by doubling, so each byte counts twice.
-    pub fn count_stored_bytes(&mut self, id: usize, request_bytes: usize) {
+    /// Updates the count of bytes stored for a connection: input that was read ahead, and the statement of its request in flight.
+    pub fn count_stored_bytes(&mut self, id: usize) {
         let Some(connection) = self.connections.get_mut(id) else { return };
-        if connection.inbox.is_empty() {
-            // An emptied buffer keeps its allocation; replacing it releases the memory.
-            connection.inbox = BytesMut::new();
+        if !matches!(connection.phase, ConnectionPhase::Busy(_)) {
+            connection.inbox.release_messages();
         }
-        let stored = 2 * (connection.inbox.len() + request_bytes);
+        let stored = connection.inbox.allocated_bytes();
         self.stored_statement_bytes = self.stored_statement_bytes + stored - connection.stored_bytes;
         connection.stored_bytes = stored;
     }
--- a/crates/ottersill/src/control/server.rs
+++ b/crates/ottersill/src/control/server.rs
@@ -1,18 +1,20 @@
 //! The control listener. A client sends one line with a question, and receives JSON objects, one per line. It listens on
 //! loopback addresses only.
 
+use std::convert::Infallible;
 use std::io;
 use std::net::SocketAddr;
 use std::rc::Rc;
 
-use bytes::{Bytes, BytesMut};
+use bytes::Bytes;
 use calloop::RegistrationToken;
 use slab::Slab;
 use slog::warn;
 use socket2::Socket;
 
 use crate::control::fleet_report::FleetReport;
-use crate::protocol::socket::{self, Outbox, ReadOutcome};
+use crate::protocol::read_buffer::{ReadBuffer, ReadOutcome};
+use crate::protocol::socket::{self, Outbox};
 use crate::protocol::socket_failure::AcceptFailure;
 use crate::reactor::{Context, Source};
 use crate::timers::{Timer, TimerHandle};
@@ -33,7 +35,7 @@
 struct ControlClient {
     socket: Rc<Socket>,
     token: RegistrationToken,
-    inbox: BytesMut,
+    inbox: ReadBuffer,
     outbox: Outbox,
     is_answered: bool,
     timer: TimerHandle,
@@ -86,7 +88,7 @@
             self.clients.insert(ControlClient {
                 socket,
                 token,
-                inbox: BytesMut::new(),
+                inbox: ReadBuffer::default(),
                 outbox: Outbox::default(),
                 is_answered: false,
                 timer: context.timers.set(context.now() + CLIENT_LIFETIME_SECONDS, Timer::ControlClient(id)),
@@ -106,7 +108,7 @@
     /// Handles readiness of a connection: reads the question, and writes the answer that `report` gives.
     pub fn on_client_ready(&mut self, id: usize, report: &FleetReport, context: &mut Context) {
         let Some(client) = self.clients.get_mut(id) else { return };
-        let outcome = socket::read(&client.socket, &mut client.inbox, MAX_QUESTION_BYTES);
+        let outcome = client.inbox.read(&client.socket, MAX_QUESTION_BYTES);
         if let Some(question) = client.take_question() {
             client.outbox.push(Bytes::from(report.answer(&question)));
             client.is_answered = true;
@@ -135,8 +137,10 @@
 impl ControlClient {
     /// Returns the question once its line is complete.
     fn take_question(&mut self) -> Option<String> {
-        let end = self.inbox.iter().position(|byte| *byte == b'\n')?;
-        let line = self.inbox.split_to(end + 1);
-        Some(String::from_utf8_lossy(&line).trim().to_string())
+        let line = self.inbox.take(|bytes| {
+            let end = bytes.iter().position(|byte| *byte == b'\n');
+            Ok::<_, Infallible>(end.map(|end| bytes.split_to(end + 1)))
+        });
+        line.ok().flatten().map(|line| String::from_utf8_lossy(&line).trim().to_string())
     }
 }
--- a/crates/ottersill/src/discovery/call.rs
+++ b/crates/ottersill/src/discovery/call.rs
@@ -5,14 +5,14 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 
-use bytes::BytesMut;
 use calloop::RegistrationToken;
 use socket2::Socket;
 
 use crate::discovery::endpoint_list::EndpointList;
 use crate::discovery::http::{self, HttpError, Response};
 use crate::discovery::watch::{self, CallState, Request};
-use crate::protocol::socket::{self, Outbox, ReadOutcome};
+use crate::protocol::read_buffer::{ReadBuffer, ReadOutcome};
+use crate::protocol::socket::{self, Outbox};
 use crate::reactor::{Context, Source};
 
 /// The only status that is treated as a success.
@@ -89,7 +89,7 @@
     state: CallState,
     socket: Rc<Socket>,
     token: RegistrationToken,
-    inbox: BytesMut,
+    inbox: ReadBuffer,
     outbox: Outbox,
     requested_at: f64,
     /// When this call may be closed to make room for newer ones; infinite if it is the newest call or was answered.
@@ -109,7 +109,7 @@
             state: CallState::Connecting,
             socket,
             token,
-            inbox: BytesMut::new(),
+            inbox: ReadBuffer::default(),
             outbox: Outbox::default(),
             requested_at: context.now(),
             keep_until: f64::INFINITY,
@@ -158,11 +158,13 @@
     pub fn read(&mut self, context: &mut Context) -> Result<Option<Answer>, CallError> {
         self.outbox.flush(&self.socket)?;
         // A reset is an error, not an end of the response: input that arrived before it is discarded with the connection.
-        let outcome = socket::read(&self.socket, &mut self.inbox, http::MAX_RESPONSE_BYTES)?;
-        let response =
-            http::response(&mut self.inbox, outcome == ReadOutcome::Ended).map_err(CallError::Http)?;
+        let outcome = self.inbox.read(&self.socket, http::MAX_RESPONSE_BYTES)?;
+        let response = self.inbox.take(|bytes| http::response(bytes, outcome == ReadOutcome::Ended));
+        let response = response.map_err(CallError::Http)?;
         if let Some(response) = response {
-            return Answer::parse(&response).map(Some);
+            let answer = Answer::parse(&response).map(Some);
+            self.inbox.release_messages();
+            return answer;
         }
         match outcome {
             ReadOutcome::Ended => Err(CallError::ConnectionClosed),
--- a/crates/ottersill/src/event_loop/clients.rs
+++ b/crates/ottersill/src/event_loop/clients.rs
@@ -173,9 +173,9 @@
 
     /// Registers a request as in flight, under the id that the routing module assigned.
     pub(super) fn register_request(&mut self, request_id: usize, request: InFlightRequest) {
-        let (client, statement_bytes) = (request.client, request.text.len());
+        let client = request.client;
         self.requests.insert(request_id, request, &mut self.context.counters);
-        self.clients.begin_request(client, request_id, statement_bytes, &mut self.context);
+        self.clients.begin_request(client, request_id, &mut self.context);
     }
 
     /// Abandons a request whose client has disconnected.
--- a/crates/ottersill/src/event_loop/mod.rs
+++ b/crates/ottersill/src/event_loop/mod.rs
@@ -215,7 +215,8 @@
         self.statements.log_counters(log);
         info!(log, "counters: {}", self.context.counters; "invariant_violations_total" => self.invariant_violations(),
             "client_connections_open" => self.clients.len(), "backend_connections_open" => self.backends.len(),
-            "statements_in_flight" => self.requests.count());
+            "statements_in_flight" => self.requests.count(),
+            "statement_bytes_stored" => self.clients.stored_statement_bytes());
     }
 
     /// Returns whether no client is connected and none can connect.
--- a/crates/ottersill/src/protocol/frame.rs
+++ b/crates/ottersill/src/protocol/frame.rs
@@ -10,7 +10,7 @@
 /// Nearly every statement is shorter. Buffers of this size are cheap to keep.
 pub const TYPICAL_MESSAGE_BYTES: usize = 4096;
 /// Limit on the size of a startup message, which holds a few names.
-const MAX_STARTUP_BYTES: usize = 10_000;
+pub const MAX_STARTUP_BYTES: usize = 10_000;
 
 const PROTOCOL_3: u32 = 3 << 16;
 const CANCEL_REQUEST: u32 = (1234 << 16) | 5678;
@@ -117,6 +117,13 @@
     }
 }
 
+/// Returns the length of the next message, header included, which may not be complete yet; `None` if its header is not complete,
+/// or invalid.
+pub fn declared_length(inbox: &[u8]) -> Option<usize> {
+    let length = 1 + read_u32(inbox.get(1..5)?);
+    (5..=MAX_MESSAGE_BYTES).contains(&length).then_some(length)
+}
+
 /// The kinds of messages with which a client starts a connection.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Startup {
--- a/crates/ottersill/src/protocol/socket.rs
+++ b/crates/ottersill/src/protocol/socket.rs
@@ -4,52 +4,15 @@
 use std::io::{self, ErrorKind, IoSlice, Read, Write};
 use std::net::SocketAddr;
 
-use bytes::{Buf, Bytes, BytesMut};
+use bytes::{Buf, Bytes};
 use rustix::io::Errno;
 use socket2::{Domain, Protocol, Socket, Type};
 
 use crate::protocol::socket_failure::ConnectFailure;
 
-/// Bytes per read, one page: a statement and its answer are shorter.
-const READ_CHUNK_BYTES: usize = 4096;
-/// Reads of one connection in a row, limited so that a busy connection does not delay the others.
-const MAX_READS_PER_WAKE: usize = 16;
 /// Slices per write.
 const MAX_SLICES_PER_WRITE: usize = 16;
 
-/// The result of reading a socket.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum ReadOutcome {
-    /// All available bytes were read.
-    Drained,
-    /// More bytes may be available: the buffer is full, or the limit of reads in a row is reached.
-    MoreToRead,
-    /// The peer has closed its side of the connection.
-    Ended,
-}
-
-/// Reads until `max_bytes` bytes are in the buffer or no more are available. Continues after a short read: if the peer has
-/// closed the connection along with the data, no further readiness event announces that.
-pub fn read(mut socket: &Socket, inbox: &mut BytesMut, max_bytes: usize) -> io::Result<ReadOutcome> {
-    for _ in 0..MAX_READS_PER_WAKE {
-        let from = inbox.len();
-        if from >= max_bytes {
-            return Ok(ReadOutcome::MoreToRead);
-        }
-        inbox.resize(from + READ_CHUNK_BYTES, 0);
-        let read = socket.read(&mut inbox[from..]);
-        inbox.truncate(from + *read.as_ref().unwrap_or(&0));
-        match read {
-            Ok(0) => return Ok(ReadOutcome::Ended),
-            Ok(_) => {}
-            Err(e) if e.kind() == ErrorKind::WouldBlock => return Ok(ReadOutcome::Drained),
-            Err(e) if e.kind() == ErrorKind::Interrupted => {}
-            Err(e) => return Err(e),
-        }
-    }
-    Ok(ReadOutcome::MoreToRead)
-}
-
 /// Returns whether the peer has closed the connection, even if bytes that it sent before are still unread. Reads nothing.
 pub fn has_ended(socket: &Socket) -> bool {
     use rustix::event::{PollFd, PollFlags, Timespec, poll};
--- a/crates/ottersill/tests/service/connection_limits.rs
+++ b/crates/ottersill/tests/service/connection_limits.rs
@@ -9,7 +9,7 @@
 use rstest::rstest;
 
 use crate::fixture::{
-    TIMEOUT, read, read_with_id, start_service, start_service_with_memory, wait_until, write,
+    Service, TIMEOUT, read, read_with_id, start_service, start_service_with_memory, wait_until, write,
 };
 use crate::support::machine::time_without_stalls_since;
 
@@ -55,14 +55,63 @@
     wait_until("requests are served again", || {
         service.client().query(&read(2000)).is_ok_and(|answer| answer.starts_with("row:"))
     });
+    let peak = peak_memory_kb(&service);
+    assert!(peak < 32 << 10, "{peak} kB");
+}
+
+/// Returns the most memory that the router has had resident so far, in kB.
+fn peak_memory_kb(service: &Service) -> u64 {
     let status = std::fs::read_to_string(format!("/proc/{}/status", service.router.process.id()))
         .expect("process status unavailable");
     let peak = status
         .lines()
         .find_map(|line| line.strip_prefix("VmHWM:"))
         .expect("no peak memory in the process status");
-    let peak: u64 = peak.trim().trim_end_matches(" kB").parse().expect("a number");
-    assert!(peak < 32 << 10, "{peak} kB");
+    peak.trim().trim_end_matches(" kB").parse().expect("peak memory is not a number")
+}
+
+/// Guards against a router that is killed for its memory: many clients pipeline long statements at full speed, and connect again
+/// when they are rejected. Each was read up to a whole message ahead, however little memory was left.
+#[test]
+fn memory_is_bounded_when_many_clients_pipeline_long_statements() {
+    const MEMORY_MB: u64 = 48;
+    const CLIENTS: usize = 160;
+    const STATEMENTS: usize = 100;
+    const VALUE_BYTES: usize = 30_000;
+    let service = start_service_with_memory(512, MEMORY_MB);
+    service.set_all_behaviours(Behaviour::NeverAnswers);
+    let long = write("9f", 2000).replace("76616c7565", &"61".repeat(VALUE_BYTES));
+    let ends_at = Instant::now() + Duration::from_secs(4);
+    let pipeline_statements = |number: usize| {
+        let Ok(mut client) = Client::connect(service.router.address) else { return };
+        // Ends the client if the router leaves its statements unread.
+        client
+            .socket
+            .set_write_timeout(Some(Duration::from_secs(1)))
+            .expect("write timeout could not be set");
+        for statement in 0..STATEMENTS {
+            let text = long.replace("id=5d", &format!("id=e{:x}", number * STATEMENTS + statement));
+            if Instant::now() > ends_at || client.send(&text).is_err() {
+                return;
+            }
+        }
+    };
+    let pipeline_statements = &pipeline_statements;
+    thread::scope(|scope| {
+        for number in 0..CLIENTS {
+            scope.spawn(move || {
+                while Instant::now() < ends_at {
+                    pipeline_statements(number);
+                }
+            });
+        }
+    });
+    service.set_all_behaviours(Behaviour::Replica);
+    wait_until("requests are served again", || {
+        service.client().query(&read(2000)).is_ok_and(|answer| answer.starts_with("row:"))
+    });
+    let peak = peak_memory_kb(&service);
+    assert!(peak < MEMORY_MB << 10, "{peak} kB");
 }
 
 /// Guards against connections that send nothing and keep other clients out permanently.
