Set TCP_NODELAY in the cluster harness's fault proxy, so that the empty query delays no answer there

Cause: since an endpoint writes two small answers for a statement.

Change: both sockets of a forwarded connection set the option, as the peers do.

--- a/crates/testkit/src/fault_proxy/stream.rs
+++ b/crates/testkit/src/fault_proxy/stream.rs
@@ -116,6 +116,9 @@
 fn forward_connection(client: TcpStream, target: SocketAddr, control: &Control) -> io::Result<()> {
     client.set_nonblocking(false)?;
     let server = TcpStream::connect_timeout(&target, CONNECT_TIMEOUT)?;
+    // As the peers do: otherwise the system holds back a small write until the one before it is acknowledged.
+    client.set_nodelay(true)?;
+    server.set_nodelay(true)?;
     let (from_client, to_server) = (client.try_clone()?, server.try_clone()?);
     let request_control = control.clone();
     thread::spawn(move || forward(from_client, to_server, &request_control, |faults| faults.cut_requests));
