Count the event loop's iterations, messages and time by kind of source; log late answers

What was missing to tell the hypotheses of the incident apart, and is kept: the line `event loop` (SIGUSR1 and exit) has the number of iterations, the longest one, and visits, messages, time and the longest visit for each kind of source. `answer late` names the id, the answer, how long the request waited and its limit; `answers_late` counts them (over 50 ms, the protocol's tolerance). `request not served` does the same for rejections and aborts.

Lines that peers can cause at any rate share one throttle, a line a second with a count: until now `client rejected` had none, so unsound clients wrote a line each. It names the client's address now. The three throttles that backends, discovery and the statement checker each had are replaced by it.

No behaviour of requests changes.

--- a/crates/ottersill/src/backend/pool.rs
+++ b/crates/ottersill/src/backend/pool.rs
@@ -17,9 +17,6 @@
 use crate::reactor::{Context, Source};
 use crate::timers::Timer;
 
-/// Minimum interval between two log lines about failed connections to the same endpoint.
-const LOG_INTERVAL_SECONDS: f64 = 1.0;
-
 impl Backends {
     /// Changes a connection's state, the only place that does so, and sets the timer of the time by which it has to change again.
     pub(super) fn set_state(
@@ -203,10 +200,8 @@
     context: &Context,
 ) {
     let endpoint = &mut endpoints[endpoint];
-    endpoint.failures_since_log += 1;
-    if context.now() - endpoint.last_logged_at >= LOG_INTERVAL_SECONDS {
+    if let Some(failures) = endpoint.connection_failures.admit(context.now()) {
         info!(context.log, "backend connection failed"; "endpoint" => endpoint.name.as_str(), "state" => format!("{state:?}"),
-            "reason" => reason, "failures" => endpoint.failures_since_log);
-        (endpoint.last_logged_at, endpoint.failures_since_log) = (context.now(), 0);
+            "reason" => reason, "failures" => failures);
     }
 }
--- a/crates/ottersill/src/backend/session.rs
+++ b/crates/ottersill/src/backend/session.rs
@@ -62,7 +62,10 @@
         loop {
             let taken = match connection.inbox.take(frame::take_message) {
                 Ok(None) => return BackendEvent::AllRead,
-                Ok(Some(message)) => connection.reply.add(message),
+                Ok(Some(message)) => {
+                    context.work.count_message();
+                    connection.reply.add(message)
+                }
                 Err(error) => Err(error),
             };
             let reply = &connection.reply;
--- a/crates/ottersill/src/client/accept.rs
+++ b/crates/ottersill/src/client/accept.rs
@@ -66,7 +66,10 @@
             return self.accept_later(context);
         }
         match self.listener.next_client(context.now()) {
-            Ok(Some(next)) => self.add(next, is_admitted, context),
+            Ok(Some(next)) => {
+                context.work.count_message();
+                self.add(next, is_admitted, context)
+            }
             Ok(None) => AcceptOutcome::BacklogEmpty,
             Err(error) => {
                 context.counters.accepts_failed += 1;
--- a/crates/ottersill/src/client/answers.rs
+++ b/crates/ottersill/src/client/answers.rs
@@ -73,7 +73,10 @@
         context: &mut Context,
     ) {
         context.counters.client_protocol_errors += 1;
-        info!(context.log, "client rejected"; "reason" => text);
+        if let Some(clients) = self.rejections.admit(context.now()) {
+            let address = self.table[id].socket.peer_addr().ok().and_then(|address| address.as_socket());
+            info!(context.log, "client rejected"; "reason" => text, "client" => ?address, "clients" => clients);
+        }
         self.reject_connection(id, code, text, context);
     }
 
--- a/crates/ottersill/src/client/mod.rs
+++ b/crates/ottersill/src/client/mod.rs
@@ -19,6 +19,7 @@
 use crate::client::connection_limits::ConnectionLimits;
 use crate::client::listener::ClientListener;
 use crate::client::table::ClientTable;
+use crate::log_throttle::LogThrottle;
 
 pub use crate::client::listener::MAX_ACCEPTS_PER_WAKE;
 
@@ -63,6 +64,8 @@
     is_draining: bool,
     /// When all accepted requests have to be answered; infinite unless the router is shutting down.
     answer_deadline: f64,
+    /// Limits the log lines about clients that violate the protocol.
+    rejections: LogThrottle,
 }
 
 impl Clients {
@@ -74,6 +77,7 @@
             limits,
             is_draining: false,
             answer_deadline: f64::INFINITY,
+            rejections: LogThrottle::default(),
         }
     }
 
--- a/crates/ottersill/src/client/session.rs
+++ b/crates/ottersill/src/client/session.rs
@@ -91,6 +91,7 @@
             }
             match take_message(client) {
                 Ok(Some(message)) => {
+                    context.work.count_message();
                     if let Some(text) = self.on_message(id, message, context) {
                         return Some(ClientEvent::Statement { text, arrived_at });
                     }
--- a/crates/ottersill/src/clock.rs
+++ b/crates/ottersill/src/clock.rs
@@ -70,9 +70,10 @@
         self.now = time;
     }
 
-    /// Ends an iteration, after all that was ready is handled.
-    pub fn end_iteration(&mut self) {
+    /// Ends an iteration, after all that was ready is handled. Returns how long it took, in seconds.
+    pub fn end_iteration(&mut self) -> f64 {
         self.iteration_ended_at = self.read();
+        self.iteration_ended_at - self.now
     }
 
     /// Returns the time of this iteration: when the sockets were last polled.
--- a/crates/ottersill/src/counters.rs
+++ b/crates/ottersill/src/counters.rs
@@ -41,6 +41,7 @@
     completed: "Statements answered with an endpoint's result.",
     rejected: "Statements answered with a rejection.",
     aborted: "Statements answered with an abort.",
+    answers_late: "Statements answered over 50 ms after their client stopped waiting.",
     statements_abandoned: "Statements whose client disconnected before the answer.",
     attempts: "Attempts started.",
     attempts_completed: "Attempts with a result.",
--- a/crates/ottersill/src/discovery/client.rs
+++ b/crates/ottersill/src/discovery/client.rs
@@ -11,13 +11,12 @@
 use crate::discovery::watch::{
     self, CallState, RETRY_DELAY_SECONDS, Request, SUPERSEDED_CALL_LIFETIME_SECONDS,
 };
+use crate::log_throttle::LogThrottle;
 use crate::reactor::{Context, Source};
 use crate::timers::{Timer, TimerHandle};
 
 /// Maximum number of open calls: one that is unanswered, and the next.
 const MAX_CALLS: usize = 2;
-/// Minimum time between two log lines about failed calls.
-const LOG_INTERVAL_SECONDS: f64 = 1.0;
 
 /// An event that [`DiscoveryClient::poll_event`] returns to the event loop.
 #[derive(Debug)]
@@ -43,8 +42,8 @@
     is_unresponsive: bool,
     /// How long a call that should be answered at once may stay unanswered before the next call begins.
     fetch_timeout: f64,
-    /// When a failure was last logged.
-    logged_at: f64,
+    /// Limits the log lines about failed calls.
+    failures: LogThrottle,
     events: VecDeque<DiscoveryEvent>,
 }
 
@@ -59,7 +58,7 @@
             version: None,
             is_unresponsive: false,
             fetch_timeout: watch::fetch_timeout(drain_grace),
-            logged_at: f64::NEG_INFINITY,
+            failures: LogThrottle::default(),
             events: VecDeque::new(),
         }
     }
@@ -177,6 +176,7 @@
     /// Handles an answer. The answered call is kept and any other is closed. The next request is sent at once, because only
     /// that continues the watch.
     fn on_answer(&mut self, index: usize, answer: Answer, context: &mut Context) {
+        context.work.count_message();
         for other in (0..self.calls.len()).rev().filter(|other| *other != index) {
             self.close_call(other, context);
         }
@@ -222,8 +222,7 @@
     /// Counts a failed call, reports it to the event loop, and logs it unless another was logged shortly before.
     fn report_failure(&mut self, error: &CallError, context: &mut Context) {
         context.counters.discovery_calls_failed += 1;
-        if context.now() - self.logged_at >= LOG_INTERVAL_SECONDS {
-            self.logged_at = context.now();
+        if self.failures.admit(context.now()).is_some() {
             let calls_failed = context.counters.discovery_calls_failed;
             warn!(context.log, "discovery call failed"; "error" => %error, "calls_failed" => calls_failed);
         }
--- a/crates/ottersill/src/discovery/registry.rs
+++ b/crates/ottersill/src/discovery/registry.rs
@@ -10,6 +10,7 @@
 use slab::Slab;
 
 use crate::discovery::endpoint_list::{EndpointEntry, EndpointList, Health};
+use crate::log_throttle::LogThrottle;
 use crate::protocol::socket_failure::{ConnectFailure, LocalFailures};
 
 /// A known endpoint.
@@ -22,10 +23,8 @@
     pub address: Option<SocketAddr>,
     /// State according to the last list that named the endpoint.
     pub listed: EndpointUpdate,
-    /// Number of connections that broke since the last log line about broken connections.
-    pub failures_since_log: u64,
-    /// When that line was logged, in Unix seconds.
-    pub last_logged_at: f64,
+    /// Limits the log lines about failed connections.
+    pub connection_failures: LogThrottle,
     local_failures: LocalFailures,
     last_mention: ListMention,
 }
@@ -49,8 +48,7 @@
             name_hash,
             address: None,
             listed,
-            failures_since_log: 0,
-            last_logged_at: 0.0,
+            connection_failures: LogThrottle::default(),
             local_failures: LocalFailures::default(),
             last_mention: ListMention::default(),
         }
--- a/crates/ottersill/src/event_loop/clients.rs
+++ b/crates/ottersill/src/event_loop/clients.rs
@@ -6,12 +6,9 @@
 use bytes::Bytes;
 use ottersill_routing::facade::RoutingEvent;
 
-use crate::client::answers::rejection;
 use crate::client::{AcceptOutcome, ClientEvent, MAX_ACCEPTS_PER_WAKE};
 use crate::event_loop::EventLoop;
 use crate::in_flight::{InFlightRequest, RequestPhase};
-use crate::protocol::frame;
-use crate::protocol::frame::ErrorCode;
 use crate::reactor::Source;
 use crate::statement_checker::{CheckContext, CheckedStatement, Refusal};
 
@@ -164,6 +161,7 @@
             id: statement.comment.id,
             text: statement.text,
             cache_key: statement.info.key,
+            arrived_at,
             deadline,
             may_have_run: false,
         };
@@ -192,32 +190,4 @@
             self.withdraw(backend);
         }
     }
-
-    /// Answers a request with the result of an endpoint.
-    pub(super) fn complete(&mut self, request_id: usize, [description, row, complete]: [Bytes; 3]) {
-        self.context.counters.completed += 1;
-        self.answer(request_id, [description, row, complete, frame::READY_FOR_QUERY.clone()]);
-    }
-
-    /// Answers a request with a rejection. `retry_after` is the retry delay for the client, in seconds; 0 sends none.
-    pub(super) fn reject(&mut self, request_id: usize, retry_after: f64) {
-        self.context.counters.rejected += 1;
-        let error = rejection(retry_after, "rejected: nothing ran");
-        self.answer(request_id, [error, frame::READY_FOR_QUERY.clone()]);
-    }
-
-    /// Answers a request with an abort.
-    pub(super) fn abort(&mut self, request_id: usize) {
-        self.context.counters.aborted += 1;
-        let error = frame::error("ERROR", ErrorCode::CompletionUnknown, "aborted: it may have run", None);
-        self.answer(request_id, [error, frame::READY_FOR_QUERY.clone()]);
-    }
-
-    /// Sends the final answer of a request that is not abandoned; each request has exactly one.
-    fn answer<const N: usize>(&mut self, request_id: usize, slices: [Bytes; N]) {
-        let Some(request) = self.requests.get(request_id) else { return };
-        let client = request.client;
-        self.requests.transition(request_id, RequestPhase::Vacant, &mut self.context.counters);
-        self.clients.answer(client, slices, &mut self.context);
-    }
 }
--- a/crates/ottersill/src/event_loop/mod.rs
+++ b/crates/ottersill/src/event_loop/mod.rs
@@ -1,6 +1,7 @@
 //! The event loop: dispatches ready sockets and expired timers to the components that own them, and carries out the
 //! decisions of the routing module. It makes no routing decisions itself.
 
+mod answers;
 mod attempts;
 mod clients;
 mod discovery;
@@ -20,6 +21,8 @@
 use crate::discovery::registry::EndpointRegistry;
 use crate::fleet_link::FleetLink;
 use crate::in_flight::{InFlightRequest, InFlightRequests};
+use crate::log_throttle::LogThrottle;
+use crate::loop_statistics::SourceKind;
 use crate::reactor::{Context, ReactorHandle, Readiness, Source};
 use crate::statement_checker::StatementChecker;
 use crate::timers::Timer;
@@ -50,6 +53,10 @@
     context: Context,
     /// The retry delay sent to clients that are rejected because no endpoint list has arrived, in seconds; 0 sends none.
     retry_after_seconds: f64,
+    /// Limits the log lines about late answers.
+    late_answers: LogThrottle,
+    /// Limits the log lines about requests that are answered without a result.
+    unserved_requests: LogThrottle,
 }
 
 impl EventLoop {
@@ -78,6 +85,8 @@
             limits,
             context,
             retry_after_seconds,
+            late_answers: LogThrottle::default(),
+            unserved_requests: LogThrottle::default(),
             facade: Facade::start(now, routing_config),
         }
     }
@@ -107,16 +116,25 @@
         self.context.clock.begin_iteration();
         self.update_fleet_quota();
         for source in self.context.readiness().take() {
-            self.on_ready(source);
-            self.run_routing_actions();
+            self.visit(source.kind(), |event_loop| event_loop.on_ready(source));
         }
         while let Some(timer) = self.context.timers.expired(self.context.now()) {
-            self.on_timer(timer);
-            self.run_routing_actions();
+            self.visit(SourceKind::Timer, |event_loop| event_loop.on_timer(timer));
         }
         self.run_routing_actions();
         self.flush_fleet();
-        self.context.clock.end_iteration();
+        let seconds = self.context.clock.end_iteration();
+        self.context.statistics.record_iteration(seconds);
+    }
+
+    /// Handles one source or timer and the routing actions that follow, and records the work and the time.
+    fn visit(&mut self, kind: SourceKind, handle: impl FnOnce(&mut EventLoop)) {
+        let began_at = self.context.clock.read();
+        handle(self);
+        self.run_routing_actions();
+        let seconds = self.context.clock.read() - began_at;
+        let messages = self.context.work.take_messages();
+        self.context.statistics.record_visit(kind, messages, seconds);
     }
 
     fn on_ready(&mut self, source: Source) {
@@ -217,6 +235,7 @@
             "client_connections_open" => self.clients.len(), "backend_connections_open" => self.backends.len(),
             "statements_in_flight" => self.requests.count(),
             "statement_bytes_stored" => self.clients.stored_statement_bytes());
+        info!(log, "event loop: {}", self.context.statistics);
     }
 
     /// Returns whether no client is connected and none can connect.
--- a/crates/ottersill/src/fleet_link/datagrams.rs
+++ b/crates/ottersill/src/fleet_link/datagrams.rs
@@ -228,13 +228,16 @@
 fn read_datagrams(
     fleet: &mut FleetNode,
     socket: &Rc<Socket>,
-    context: &Context,
+    context: &mut Context,
 ) -> io::Result<UnreadDatagrams> {
     let mut buffer = [0; MAX_DATAGRAM_BYTES];
     for _ in 0..MAX_DATAGRAMS_PER_ITERATION {
         match socket::receive_datagram(socket, &mut buffer) {
             // The clock is read for each datagram, as the time of a grant counts from when its datagram is read.
-            Ok(Some(length)) => fleet.handle_datagram(context.clock.read(), &buffer[..length]),
+            Ok(Some(length)) => {
+                context.work.count_message();
+                fleet.handle_datagram(context.clock.read(), &buffer[..length]);
+            }
             Ok(None) => return Ok(UnreadDatagrams::None),
             // The error is about a single datagram, such as one sent earlier that was not delivered.
             Err(error) if concerns_one_datagram(error.kind()) => {}
--- a/crates/ottersill/src/in_flight.rs
+++ b/crates/ottersill/src/in_flight.rs
@@ -48,6 +48,8 @@
     pub text: StatementText,
     /// The key of its fingerprint in the fingerprint cache.
     pub cache_key: Option<CacheKey>,
+    /// When its first byte arrived, in Unix seconds.
+    pub arrived_at: f64,
     /// When its client stops waiting, in Unix seconds.
     pub deadline: f64,
     /// Whether an attempt has ended that may have run.
--- a/crates/ottersill/src/lib.rs
+++ b/crates/ottersill/src/lib.rs
@@ -6,7 +6,7 @@
 //! interface for the components), [`client`] (client connections), [`statement_checker`] (checks and classifies statements),
 //! [`in_flight`] (requests in flight), [`backend`] (connections to endpoints), [`protocol`] (PostgreSQL messages, sockets),
 //! [`discovery`] (endpoint lists), [`fleet_link`] (communication with the other routers), [`control`] (answers to operators),
-//! [`counters`]. `docs/architecture.md` describes which component owns which state.
+//! [`work_meter`], [`loop_statistics`], [`counters`] and [`log_throttle`] (what operators see). `docs/architecture.md` describes which component owns which state.
 
 #![warn(missing_docs)]
 #![warn(clippy::cast_possible_truncation, clippy::cast_precision_loss, clippy::cast_sign_loss)]
@@ -22,7 +22,10 @@
 pub mod fleet_link;
 pub mod in_flight;
 pub mod lifecycle;
+pub mod log_throttle;
+pub mod loop_statistics;
 pub mod protocol;
 pub mod reactor;
 pub mod statement_checker;
 pub mod timers;
+pub mod work_meter;
--- a/crates/ottersill/src/reactor.rs
+++ b/crates/ottersill/src/reactor.rs
@@ -12,7 +12,9 @@
 
 use crate::clock::LoopClock;
 use crate::counters::Counters;
+use crate::loop_statistics::{LoopStatistics, SourceKind};
 use crate::timers::Timers;
+use crate::work_meter::WorkMeter;
 
 /// The owner of a socket that became ready. Ready sources are handled in the order of the variants: endpoint lists affect all
 /// later decisions, and an answer that is read first frees capacity for the next statement.
@@ -34,6 +36,20 @@
     Listener,
 }
 
+impl Source {
+    /// Returns the kind under which the time of this source is counted.
+    pub fn kind(self) -> SourceKind {
+        match self {
+            Source::Discovery => SourceKind::Discovery,
+            Source::Fleet => SourceKind::Fleet,
+            Source::Control | Source::ControlClient(_) => SourceKind::Control,
+            Source::Backend(_) => SourceKind::Backend,
+            Source::Client(_) => SourceKind::Client,
+            Source::Listener => SourceKind::Listener,
+        }
+    }
+}
+
 /// Sources that became ready and signals that arrived while the event loop waited; its callbacks write to it.
 #[derive(Default)]
 pub struct Readiness {
@@ -88,6 +104,10 @@
     pub timers: Timers,
     /// The counters that operators read.
     pub counters: Counters,
+    /// How long iterations take, and which sources take the time.
+    pub statistics: LoopStatistics,
+    /// Counts the work of the source that is being handled.
+    pub work: WorkMeter,
     /// The log for operators.
     pub log: Logger,
     handle: ReactorHandle,
@@ -101,6 +121,8 @@
             clock: LoopClock::default(),
             timers: Timers::default(),
             counters: Counters::default(),
+            statistics: LoopStatistics::default(),
+            work: WorkMeter::default(),
             log,
             handle,
             readiness: Readiness::default(),
--- a/crates/ottersill/src/statement_checker.rs
+++ b/crates/ottersill/src/statement_checker.rs
@@ -13,13 +13,11 @@
 
 use crate::discovery::registry::EndpointRegistry;
 use crate::in_flight::InFlightRequests;
+use crate::log_throttle::LogThrottle;
 use crate::protocol::frame::ErrorCode;
 use crate::protocol::statement_text::{StatementComment, StatementText, StatementTextError};
 use crate::reactor::Context;
 
-/// Minimum interval between two log lines about reads that are treated as writes; the line has their total count.
-const LOG_INTERVAL_SECONDS: f64 = 1.0;
-
 /// Why a statement is not passed to the routing module.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Refusal {
@@ -117,8 +115,8 @@
     names: DeploymentNames,
     /// What is known about fingerprints, within a limit on its memory.
     fingerprints: FingerprintCache,
-    /// When the log last had a line about a read treated as a write, in Unix seconds.
-    logged_at: f64,
+    /// Limits the log lines about reads treated as writes.
+    write_classifications: LogThrottle,
 }
 
 impl StatementChecker {
@@ -126,7 +124,7 @@
     pub fn new(now: f64, names: DeploymentNames, routing: &RoutingConfig, bytes: usize) -> StatementChecker {
         let typical_work = routing.workloads.iter().map(Router::initial_latency).collect();
         let fingerprints = FingerprintCache::new(now, Key::from_seed(routing.seed), bytes, typical_work);
-        StatementChecker { names, fingerprints, logged_at: 0.0 }
+        StatementChecker { names, fingerprints, write_classifications: LogThrottle::default() }
     }
 
     /// Checks a statement.
@@ -196,10 +194,9 @@
         info: &StatementInfo,
         context: &Context,
     ) {
-        if context.now() - self.logged_at < LOG_INTERVAL_SECONDS {
+        if self.write_classifications.admit(context.now()).is_none() {
             return;
         }
-        self.logged_at = context.now();
         let classification = info.key.and_then(|key| self.fingerprints.classification(&key).cloned());
         let classification =
             classification.unwrap_or_else(|| classify::classify_by_prescan(text, &classify::prescan(text)));
