testkit: `flood` measures what usual clients wait while others flood a router

The longest iterations come from pipelined statements: up to 2 MB of them are read ahead, and those whose time is over are rejected one after the other in the same visit.

--- a/crates/testkit/src/command/error.rs
+++ b/crates/testkit/src/command/error.rs
@@ -5,6 +5,7 @@
 
 use crate::cluster::ClusterError;
 use crate::cluster::fault_schedule::ScriptError;
+use crate::flood::FloodError;
 use crate::scale::ScaleError;
 
 /// Reason why a command fails.
@@ -47,6 +48,9 @@
     /// A measurement of a deployment failed.
     #[error(transparent)]
     Scale(#[from] ScaleError),
+    /// A measurement of a flood failed.
+    #[error(transparent)]
+    Flood(#[from] FloodError),
     /// The measurements of the large deployment exceed their bounds.
     #[error("{0} rows are not within their bounds")]
     BoundsExceeded(usize),
--- a/crates/testkit/src/command/mod.rs
+++ b/crates/testkit/src/command/mod.rs
@@ -4,6 +4,7 @@
 mod cost;
 mod error;
 mod fleet;
+mod flood;
 mod scale;
 mod serve;
 
@@ -40,6 +41,8 @@
     Fleet(fleet::FleetArguments),
     /// Measures statement latency and CPU time of routers with and without a fleet, in turn.
     Cost(cost::CostArguments),
+    /// Measures what usual clients wait while other clients flood a router, and prints a table.
+    Flood(flood::FloodArguments),
     /// Compares what a router needs in a small and in a large deployment, and fails if a bound is exceeded.
     Scale(scale::ScaleArguments),
 }
@@ -51,6 +54,7 @@
         Command::Ask(statement) => ask::run(statement),
         Command::Fleet(fleet) => fleet::run(fleet),
         Command::Cost(cost) => cost::run(cost),
+        Command::Flood(flood) => flood::run(flood),
         Command::Scale(scale) => scale::run(scale),
     }
 }
--- a/crates/testkit/src/lib.rs
+++ b/crates/testkit/src/lib.rs
@@ -10,6 +10,7 @@
 //! - [`fault_proxy`]: proxies for datagrams and connections that inject faults
 //! - [`cluster`]: router processes with proxies between them, load, and fault schedules
 //! - [`scale`]: compares a router in a small deployment with one in a large deployment
+//! - [`flood`]: measures what usual clients wait while others flood a router
 //! - [`audit`]: checks the routers' audit files against the budgets
 //! - [`command`]: the command line
 #![warn(clippy::cast_possible_truncation, clippy::cast_precision_loss, clippy::cast_sign_loss)]
@@ -21,6 +22,8 @@
 pub mod command;
 mod convert;
 pub mod fault_proxy;
+pub mod flood;
+mod process_usage;
 pub mod scale;
 pub mod scripted_peer;
 pub mod stand_in;
--- a/crates/testkit/src/scale/process_usage.rs
+++ b/crates/testkit/src/process_usage.rs
@@ -14,18 +14,18 @@
 const BYTES_PER_KB: u64 = 1024;
 
 /// Reads the resource usage of one process from its folder in `/proc`.
-pub(super) struct ProcessUsage {
+pub(crate) struct ProcessUsage {
     folder: PathBuf,
 }
 
 impl ProcessUsage {
     /// Returns a reader for the process with this id.
-    pub(super) fn of(process: u32) -> ProcessUsage {
+    pub(crate) fn of(process: u32) -> ProcessUsage {
         ProcessUsage { folder: PathBuf::from(format!("/proc/{process}")) }
     }
 
     /// Returns the peak resident memory, in bytes.
-    pub(super) fn peak_memory(&self) -> io::Result<u64> {
+    pub(crate) fn peak_memory(&self) -> io::Result<u64> {
         let status = fs::read_to_string(self.folder.join("status"))?;
         let line = status.lines().find_map(|line| line.strip_prefix(PEAK_MEMORY_PREFIX));
         let kilobytes = line.and_then(|rest| rest.split_whitespace().next()?.parse::<u64>().ok());
@@ -33,7 +33,7 @@
     }
 
     /// Samples the number of open descriptors until `stopped` is set, and returns the highest.
-    pub(super) fn peak_descriptors(&self, stopped: &AtomicBool) -> io::Result<usize> {
+    pub(crate) fn peak_descriptors(&self, stopped: &AtomicBool) -> io::Result<usize> {
         let mut peak = 0;
         while !stopped.load(Ordering::Relaxed) {
             peak = peak.max(fs::read_dir(self.folder.join("fd"))?.count());
--- a/crates/testkit/src/scale/mod.rs
+++ b/crates/testkit/src/scale/mod.rs
@@ -14,7 +14,6 @@
 mod load;
 mod measurement;
 mod plan;
-mod process_usage;
 mod report;
 mod router;
 
--- a/crates/testkit/src/scale/router.rs
+++ b/crates/testkit/src/scale/router.rs
@@ -10,8 +10,8 @@
 use crate::stand_in::Client;
 
 use super::endpoints::Endpoints;
-use super::process_usage::ProcessUsage;
 use super::{ScaleError, ScalePlan};
+use crate::process_usage::ProcessUsage;
 
 /// Interval between two checks of an awaited condition.
 const CHECK_INTERVAL: Duration = Duration::from_millis(10);
