--- a/crates/ottersill/tests/support/mod.rs
+++ b/crates/ottersill/tests/support/mod.rs
@@ -2,6 +2,7 @@
 #![allow(dead_code, reason = "each test binary uses only some of the items")]
 
 pub mod faults;
+pub mod in_process;
 pub mod machine;
 
 use std::io::{BufRead, BufReader, Read};
