--- a/crates/ottersill/tests/stalled_iteration.rs
+++ b/crates/ottersill/tests/stalled_iteration.rs
@@ -6,7 +6,7 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
-use ottersill::backend::connection::Assignment;
+use ottersill::backend::connection::{Assignment, ConnectionState};
 use ottersill::client::connection::ConnectionPhase;
 use support::in_process::InProcessRouter;
 use support::*;
@@ -67,3 +67,23 @@
     // Two thirds of the 150 ms of slack are granted to a busy machine.
     assert!(left + waited <= Duration::from_millis(2100), "{left:?} {waited:?}");
 }
+
+/// Guards against an endpoint that counts as failed for the router's own delay: a connection comes up while the router is stalled
+/// for longer than the time limit for connecting, so that the startup message is written only after that.
+#[test]
+fn a_connection_that_came_up_during_a_stall_is_not_failed() {
+    // The example's time limit for connecting is 250 ms.
+    const LONGER_THAN_CONNECTING: Duration = Duration::from_millis(400);
+    let mut router = InProcessRouter::start();
+    router.replica.close_idle_connections();
+    router.poll_for(Duration::from_millis(50));
+    let mut client = router.client();
+    client.send(&read(7, 8000)).expect("query could not be sent");
+    router.poll_until("a connection is being opened", |router| {
+        router.event_loop.backends().iter().any(|(_, backend)| backend.state == ConnectionState::Dialing)
+    });
+    let failed = router.event_loop.context().counters.backend_connections_failed;
+    thread::sleep(LONGER_THAN_CONNECTING);
+    router.next_statement(|router| &router.replica).answer("late");
+    assert_eq!(router.event_loop.context().counters.backend_connections_failed, failed);
+}
