Extend the time limit for connecting by the time for which the router was late itself

What callers saw: during a flood, lines `backend connection failed reason=connection not established in time state=Greeting` for most endpoints in one millisecond; their reads went elsewhere and the endpoints were avoided for some time.

Cause: the time limit for a connection runs on while the router does not. A connection that came up meanwhile is found ready together with its expired timer: the startup message is written and the connection is failed in the same iteration, before the endpoint can answer.

Change: Backends::on_timer gives a connection that is being established as much more time as its timer is handled late, if that is over 20 ms; a request's own deadline stays its bound, a health check's moves with it. Counter connect_timeouts_extended.

Class: the router's own delay counted against a peer. With shares an iteration takes 1 to 3 ms, so only a router that is not given the processor comes here. Examined beside it: attempts in flight (an answer that has arrived is read before timers), idle times (closing early costs a connection, no blame), discovery calls (a late timer opens a second call and keeps the first).

--- a/crates/ottersill/src/backend/session.rs
+++ b/crates/ottersill/src/backend/session.rs
@@ -14,6 +14,10 @@
 use crate::protocol::read_buffer::ReadOutcome;
 use crate::protocol::socket;
 use crate::reactor::{Context, Source};
+use crate::timers::Timer;
+
+/// How late a timer may be handled without the router counting as late itself.
+const TIMER_TOLERANCE_SECONDS: f64 = 0.02;
 
 impl Backends {
     /// Handles readiness of a connection: continues its startup, writes and reads. Returns `None` if the connection is not
@@ -211,7 +215,8 @@
         context: &mut Context,
     ) -> Option<FinishedAssignment> {
         let connection = self.table.get_mut(id)?;
-        connection.timer = None;
+        let timer = connection.timer.take();
+        let lateness = timer.map_or(0.0, |timer| context.now() - timer.expires_at());
         match connection.state {
             ConnectionState::Idle => {
                 self.close_idle(id, context);
@@ -221,12 +226,28 @@
                 if context.now() < connection.deadline
                     || connection.assignment == Some(Assignment::HealthCheck) =>
             {
+                if lateness > TIMER_TOLERANCE_SECONDS {
+                    self.extend_establishment(id, lateness, context);
+                    return None;
+                }
                 Some(self.fail(id, "connection not established in time", endpoints, context))
             }
             _ => Some(self.abandon(id, AttemptOutcome::TimedOut, context)),
         }
     }
 
+    /// Gives a connection that is being established the time by which this router was late, during which it neither read what the
+    /// endpoint sent nor sent its own part. Guards against endpoints that count as failed because the router was stalled.
+    fn extend_establishment(&mut self, id: usize, lateness: f64, context: &mut Context) {
+        let connection = &mut self.table[id];
+        if connection.assignment == Some(Assignment::HealthCheck) {
+            connection.deadline += lateness;
+        }
+        let expires_at = (context.now() + lateness).min(connection.deadline);
+        connection.timer = Some(context.timers.set(expires_at, Timer::Backend(id)));
+        context.counters.connect_timeouts_extended += 1;
+    }
+
     /// Closes a connection whose idle time is over.
     fn close_idle(&mut self, id: usize, context: &mut Context) {
         context.counters.backend_connections_closed_idle += 1;
--- a/crates/ottersill/src/counters.rs
+++ b/crates/ottersill/src/counters.rs
@@ -58,6 +58,7 @@
     attempts_not_sent: "Attempts that were not sent.",
     backend_connections_opened: "Backend connections opened.",
     backend_connections_failed: "Backend connections that could not be established.",
+    connect_timeouts_extended: "Times that a backend connection got more time to come up, as this router was late itself.",
     backend_connections_closed_idle: "Backend connections closed because they were idle.",
     backend_connections_closed_by_endpoint: "Backend connections that the endpoint closed while they were idle.",
     attempts_without_descriptor: "Attempts for which no descriptor was left.",
--- a/crates/ottersill/src/timers.rs
+++ b/crates/ottersill/src/timers.rs
@@ -30,6 +30,13 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub struct TimerHandle(u64, Timer);
 
+impl TimerHandle {
+    /// Returns when the timer expires, in Unix seconds.
+    pub fn expires_at(self) -> f64 {
+        f64::from_bits(self.0)
+    }
+}
+
 /// All timers that are set, by time. A timer is removed when it expires or is cleared.
 #[derive(Default)]
 pub struct Timers {
@@ -61,7 +68,7 @@
 
     /// Returns when the next timer expires, in Unix seconds.
     pub fn next_at(&self) -> Option<f64> {
-        self.by_time.first().map(|handle| f64::from_bits(handle.0))
+        self.by_time.first().map(|handle| handle.expires_at())
     }
 
     /// Removes and returns the earliest timer if it has expired at `now`, in Unix seconds.
