--- a/crates/ottersill/tests/support/mod.rs
+++ b/crates/ottersill/tests/support/mod.rs
@@ -3,6 +3,7 @@
 
 pub mod faults;
 pub mod in_process;
+pub mod load;
 pub mod machine;
 
 use std::io::{BufRead, BufReader, Read};
@@ -111,14 +112,19 @@
         if name == "-STOP" {
             wait_until("the router waits for events", || self.state() == "S");
         }
-        let sent = Command::new("kill").args([name, &self.process.id().to_string()]).status();
-        assert!(sent.expect("kill could not be run").success());
+        self.send_signal(name);
         // `kill` returns when the signal is sent, which may be before the process is stopped.
         while name == "-STOP" && self.state() != "T" {
             thread::sleep(Duration::from_millis(1));
         }
     }
 
+    /// Sends a signal, given as an option of `kill`, whatever the router is doing.
+    pub fn send_signal(&self, name: &str) {
+        let sent = Command::new("kill").args([name, &self.process.id().to_string()]).status();
+        assert!(sent.expect("kill could not be run").success());
+    }
+
     /// Returns the state letter of the process from `/proc/PID/stat`.
     pub fn state(&self) -> String {
         let stat = std::fs::read_to_string(format!("/proc/{}/stat", self.process.id()))
--- a/crates/testkit/src/flood/flooder.rs
+++ b/crates/testkit/src/flood/flooder.rs
@@ -24,7 +24,7 @@
 }
 
 /// Flooding clients that run until they are stopped.
-pub(super) struct Flood {
+pub struct Flood {
     stopped: Arc<AtomicBool>,
     totals: Arc<Totals>,
     threads: Vec<JoinHandle<()>>,
@@ -32,7 +32,7 @@
 
 impl Flood {
     /// Starts clients, divided among the routers, and connections with half a statement.
-    pub(super) fn start(
+    pub fn start(
         input: Option<FloodInput>,
         flooders: usize,
         half_sent: usize,
@@ -54,7 +54,7 @@
     }
 
     /// Stops the clients. Returns the number of their connections and of the bytes that they received.
-    pub(super) fn stop(mut self) -> (u64, u64) {
+    pub fn stop(mut self) -> (u64, u64) {
         self.stopped.store(true, Ordering::Relaxed);
         for thread in self.threads.drain(..) {
             let _ = thread.join();
--- a/crates/testkit/src/flood/mod.rs
+++ b/crates/testkit/src/flood/mod.rs
@@ -2,6 +2,7 @@
 //! with connections that never become usual. A benchmark: it prints a table and judges nothing.
 //!
 //! - [`FloodInput`]: what a flooding client sends
+//! - [`Flood`]: flooding clients that run until they are stopped
 //! - [`FloodPlan`]: the number of clients and routers of one run, and the part of a core that a router gets
 //! - [`FloodMeasurement`]: the results of one run
 
@@ -15,6 +16,7 @@
 mod usual_load;
 
 pub use error::FloodError;
+pub use flooder::Flood;
 pub use input::FloodInput;
 pub use measurement::FloodMeasurement;
 pub use plan::FloodPlan;
--- a/crates/testkit/src/flood/routers.rs
+++ b/crates/testkit/src/flood/routers.rs
@@ -17,6 +17,10 @@
 const ENDPOINTS: usize = 3;
 /// Interval between two checks of whether a router answers.
 const CHECK_INTERVAL: Duration = Duration::from_millis(10);
+/// Index of the stolen time in a line of `/proc/stat`, after the name of the core.
+const STOLEN_FIELD: usize = 7;
+/// Unit of the times in `/proc/stat`.
+const TICKS_PER_SECOND: f64 = 100.0;
 /// The memory limit in the example configuration.
 const MEMORY_SETTING: &str = "\"memory_mb\": 192";
 
@@ -85,6 +89,16 @@
         total / crate::convert::size_to_f64(self.processes.len())
     }
 
+    /// Returns the time that the machine's host has taken from the routers' cores, in total and in seconds.
+    pub(super) fn stolen_seconds(&self) -> Result<f64, FloodError> {
+        let text = fs::read_to_string("/proc/stat").map_err(FloodError::Process)?;
+        let stolen = |core: usize| {
+            let line = text.lines().find_map(|line| line.strip_prefix(&format!("cpu{core} ")));
+            line.and_then(|fields| fields.split(' ').nth(STOLEN_FIELD)?.parse::<f64>().ok())
+        };
+        Ok((0..self.processes.len()).filter_map(stolen).sum::<f64>() / TICKS_PER_SECOND)
+    }
+
     /// Has the routers write their counters to their logs, and returns the longest iteration of an event loop in microseconds;
     /// `None` if a router does not report it.
     pub(super) fn longest_iteration_us(&self) -> Option<u64> {
--- a/crates/testkit/src/scripted_peer/endpoint.rs
+++ b/crates/testkit/src/scripted_peer/endpoint.rs
@@ -10,7 +10,7 @@
 use crate::clock::unix_ms;
 use crate::stand_in::pg_messages::{
     HEALTH_QUERY, MAX_BODY_BYTES, authentication_ok, empty_query_response, error_response, health_report,
-    query_text, read_body, read_startup, ready_for_query, single_row,
+    parameter_status, query_text, read_body, read_startup, ready_for_query, single_row,
 };
 use crate::sync::lock;
 
@@ -365,6 +365,12 @@
         single_row(value.as_bytes(), tag)
     }
 
+    /// Sends that many ParameterStatus messages, which an endpoint may send at any time, and leaves the statement unanswered.
+    pub fn send_parameters(&mut self, count: usize) {
+        // If the router has closed the connection, the test fails elsewhere.
+        let _ = self.socket.write_all(&parameter_status("a", "b").repeat(count));
+    }
+
     /// Answers with an error with the given SQLSTATE and closes the connection.
     pub fn fail_and_close(mut self, code: &str) {
         let mut answer = error_response(code, ERROR_TEXT);
--- a/crates/testkit/src/stand_in/pg_messages.rs
+++ b/crates/testkit/src/stand_in/pg_messages.rs
@@ -44,7 +44,8 @@
     out
 }
 
-fn parameter_status(name: &str, value: &str) -> Vec<u8> {
+/// Encodes a ParameterStatus.
+pub(crate) fn parameter_status(name: &str, value: &str) -> Vec<u8> {
     message(b'S', format!("{name}\0{value}\0").as_bytes())
 }
 
