--- a/review/rig-2/rig.rs
+++ b/review/rig-2/rig.rs
@@ -857,3 +857,30 @@
     overload_for_ms: 1500,
     balancers: 3,
 };
+
+impl Client {
+    /// The next answer, and whether it is a fatal error, after which no ReadyForQuery is needed; none if the connection has
+    /// ended before.
+    pub fn receive_any(&mut self) -> Option<(Answer, bool)> {
+        let mut answer = None;
+        loop {
+            let Ok((tag, body)) = read_message(&mut self.stream) else {
+                return answer.map(|answer| (answer, true));
+            };
+            match tag {
+                b'D' => answer = Some(Answer::Row(body.get(6..).unwrap_or_default().to_vec())),
+                b'E' => {
+                    let fields: Vec<&[u8]> = body.split(|byte| *byte == 0).collect();
+                    let code = fields.iter().find_map(|field| field.strip_prefix(b"C")).unwrap_or_default();
+                    let code = Answer::Error(String::from_utf8_lossy(code).into_owned());
+                    if fields.iter().any(|field| field == b"SFATAL") {
+                        return Some((code, true));
+                    }
+                    answer = Some(code);
+                }
+                b'Z' => return answer.map(|answer| (answer, false)),
+                _ => {}
+            }
+        }
+    }
+}
