--- a/review/rig-2/rig.rs
+++ b/review/rig-2/rig.rs
@@ -601,7 +601,8 @@
 
 /// Sends a signal to a process that this case has started.
 pub fn signal(id: u32, name: &str) {
-    let _ = Command::new("kill").args([format!("-{name}"), id.to_string()]).stderr(Stdio::null()).status();
+    let kill = format!("kill -{name} {id}");
+    let _ = Command::new("/bin/sh").args(["-c", &kill]).stderr(Stdio::null()).status();
 }
 
 pub struct Router {
