Hold a statement's id from its last byte read, not from its turn

What callers saw: a write took effect twice, and a client that had copied its id got a row.

Cause: an id was known only while its statement was in flight, from its turn on (in_flight.rs, ids; statement_checker.rs, find_group). A statement is accepted with its last byte, and between that and its turn it lies in its client's inbox: behind another of its client, or behind its client's share of an iteration. The same gap made copies run that waited in a pipeline themselves: their turn came after the answer, when the id looked new.

Change: routing::statement_ids decides which of two statements with one id is the first. The id is held by a value that is moved from the inbox to the request in flight and releases the id when it is dropped, so a refused copy has nothing to release, and no way in which a statement ends can keep one. client::pipelining looks through each message once, as it is complete, and reads its comment with the parser of the statement's turn (before, the time left alone was searched in up to sixteen messages at each turn). What was read as a copy stays one, whatever becomes of the first. The record counts towards the memory for statements. Counter duplicate_ids_refused, a log line a second at most, statement_ids_held among the gauges.

--- a/crates/ottersill/src/client/answers.rs
+++ b/crates/ottersill/src/client/answers.rs
@@ -89,6 +89,7 @@
         context: &mut Context,
     ) {
         self.set_phase(id, ConnectionPhase::Rejected, context);
+        self.table[id].pipeline.abandon();
         self.send(id, [frame::error("FATAL", code, text, None)], context);
     }
 }
--- a/crates/ottersill/src/client/connection.rs
+++ b/crates/ottersill/src/client/connection.rs
@@ -1,12 +1,14 @@
 //! Client connections.
 
-use std::collections::VecDeque;
 use std::net::SocketAddr;
 use std::rc::Rc;
 
 use calloop::RegistrationToken;
+use ottersill_routing::statement_ids::StatementIds;
 use socket2::Socket;
 
+use crate::client::arrivals::Arrivals;
+use crate::client::pipelining::Pipeline;
 use crate::protocol::frame::Encryption;
 use crate::protocol::read_buffer::ReadBuffer;
 use crate::protocol::socket::Outbox;
@@ -78,8 +80,10 @@
     pub token: RegistrationToken,
     /// Input that has been read but not processed; may hold further queries that the client has sent ahead.
     pub inbox: ReadBuffer,
-    /// Arrival times of the bytes in `inbox`, oldest first: a number of bytes, and when they arrived. Emptied with the inbox.
-    pub arrivals: VecDeque<(usize, f64)>,
+    /// Arrival times of the bytes in `inbox`.
+    pub arrivals: Arrivals,
+    /// The complete statements in `inbox`.
+    pub pipeline: Pipeline,
     /// Output that is not written yet; holds at most one answer, because the next query waits until the answer is written.
     pub outbox: Outbox,
     /// Whether the socket may hold more input without a further readiness event to report it.
@@ -96,9 +100,6 @@
     pub stored_bytes: usize,
 }
 
-/// Number of arrival times kept for one client; bytes that arrive beyond these are counted with the last of them.
-const MAX_ARRIVALS: usize = 64;
-
 impl ClientConnection {
     /// Creates the connection of a client whose socket is now registered with the event loop. `is_admitted` is false if the
     /// client is to be rejected for lack of room.
@@ -118,7 +119,8 @@
             socket: accepted.socket,
             token,
             inbox: ReadBuffer::default(),
-            arrivals: VecDeque::new(),
+            arrivals: Arrivals::default(),
+            pipeline: Pipeline::default(),
             outbox: Outbox::default(),
             may_have_unread: false,
             unread_since: None,
@@ -137,39 +139,22 @@
     /// Discards the unprocessed input and releases its memory.
     pub fn discard_input(&mut self) {
         self.inbox.clear();
-        self.arrivals = VecDeque::new();
+        self.arrivals.clear();
+        self.pipeline.abandon();
         self.may_have_unread = false;
         self.is_deferred = false;
     }
 
-    /// Brings `arrivals` in line with `inbox`; to be called after each read into the inbox and each removal from it. Bytes that
-    /// are new count as having arrived at `now`.
-    pub fn sync_arrivals(&mut self, now: f64) {
-        let recorded: usize = self.arrivals.iter().map(|(bytes, _)| bytes).sum();
-        let added = self.inbox.len().saturating_sub(recorded);
-        let full = self.arrivals.len() >= MAX_ARRIVALS;
-        match self.arrivals.back_mut() {
-            Some((bytes, _)) if full => *bytes += added,
-            _ if added > 0 => self.arrivals.push_back((added, now)),
-            _ => {}
-        }
-        let mut removed = recorded.saturating_sub(self.inbox.len());
-        while let Some((bytes, _)) = self.arrivals.front_mut().filter(|_| removed > 0) {
-            let dropped = removed.min(*bytes);
-            (*bytes, removed) = (*bytes - dropped, removed - dropped);
-            if *bytes == 0 {
-                self.arrivals.pop_front();
-            }
-        }
+    /// Records what was read into the inbox or removed from it; to be called after each of these. Bytes that are new count as
+    /// having arrived at `arrived_at`.
+    pub fn sync_arrivals(&mut self, arrived_at: f64) {
+        self.arrivals.sync(self.inbox.len(), arrived_at);
     }
 
-    /// Returns when the byte at `offset` in the inbox arrived; `now` for a byte that is not recorded.
-    pub fn arrival_time(&self, offset: usize, now: f64) -> f64 {
-        let mut end = 0;
-        let arrival = self.arrivals.iter().find(|(bytes, _)| {
-            end += bytes;
-            offset < end
-        });
-        arrival.map_or(now, |(_, arrived_at)| *arrived_at)
+    /// Holds the ids of the statements in the inbox that have become complete. `now` is in Unix seconds.
+    pub fn scan_pipeline(&mut self, ids: &StatementIds, now: f64) {
+        if matches!(self.phase, ConnectionPhase::Idle | ConnectionPhase::Busy(_)) {
+            self.pipeline.scan(&self.inbox, &self.arrivals, ids, now);
+        }
     }
 }
--- a/crates/ottersill/src/client/mod.rs
+++ b/crates/ottersill/src/client/mod.rs
@@ -2,22 +2,25 @@
 
 mod accept;
 pub mod answers;
+pub mod arrivals;
 mod close;
 pub mod connection;
 pub mod connection_limits;
 mod input_memory;
 mod limits;
 mod listener;
-mod pipelining;
+pub mod pipelining;
 mod session;
 pub mod table;
 mod time_limits;
 
 use bytes::Bytes;
+use ottersill_routing::statement_ids::StatementIds;
 
 use crate::client::connection::ClientConnection;
 use crate::client::connection_limits::ConnectionLimits;
 use crate::client::listener::ClientListener;
+use crate::client::pipelining::ReadAheadId;
 use crate::client::table::ClientTable;
 use crate::log_throttle::LogThrottle;
 
@@ -32,6 +35,8 @@
         text: Bytes,
         /// When the first byte of the statement arrived, in Unix seconds.
         arrived_at: f64,
+        /// The id of the statement, if it could be read ahead of the statement's turn.
+        read_ahead_id: Option<ReadAheadId>,
     },
     /// The client disconnected while a request of it was in flight; its connection is closed.
     Disconnected {
@@ -60,6 +65,8 @@
     table: ClientTable,
     listener: ClientListener,
     limits: ConnectionLimits,
+    /// The ids of all statements of the router.
+    statement_ids: StatementIds,
     /// Set after SIGTERM and the time in which new clients are still accepted: idle connections are closed.
     is_draining: bool,
     /// When all accepted requests have to be answered; infinite unless the router is shutting down.
@@ -71,12 +78,13 @@
 }
 
 impl Clients {
-    /// Creates an empty set of connections without a listener.
-    pub fn new(limits: ConnectionLimits) -> Clients {
+    /// Creates an empty set of connections without a listener. Their statements take their ids from `statement_ids`.
+    pub fn new(limits: ConnectionLimits, statement_ids: StatementIds) -> Clients {
         Clients {
             table: ClientTable::default(),
             listener: ClientListener::default(),
             limits,
+            statement_ids,
             is_draining: false,
             answer_deadline: f64::INFINITY,
             rejections: LogThrottle::default(),
--- a/crates/ottersill/src/client/session.rs
+++ b/crates/ottersill/src/client/session.rs
@@ -16,15 +16,18 @@
 
 /// A complete message of a client.
 enum ClientMessage {
-    Startup(Startup),
+    /// A startup message, and its length in bytes.
+    Startup(Startup, usize),
     Regular(frame::Message),
 }
 
 /// Removes the next message from the inbox of a client that has not sent its startup message yet or is between statements.
 fn take_message(client: &mut ClientConnection) -> Result<Option<ClientMessage>, ProtocolError> {
     if client.phase == ConnectionPhase::AwaitingStartup {
+        let inbox_bytes = client.inbox.len();
         let startup = client.inbox.take(frame::take_startup)?;
-        return Ok(startup.map(ClientMessage::Startup));
+        let bytes = inbox_bytes - client.inbox.len();
+        return Ok(startup.map(|startup| ClientMessage::Startup(startup, bytes)));
     }
     let message = client.inbox.take(frame::take_message)?;
     Ok(message.map(ClientMessage::Regular))
@@ -108,14 +111,16 @@
     #[must_use]
     pub fn next_event(&mut self, id: usize, context: &mut Context) -> Option<ClientEvent> {
         loop {
-            self.table.count_stored_bytes(id);
             let client = self.table.get_mut(id)?;
             client.sync_arrivals(context.clock.earliest_arrival_at());
+            client.scan_pipeline(&self.statement_ids, context.now());
             client.is_deferred = false;
+            self.table.count_stored_bytes(id);
+            let client = &self.table[id];
             if !client.outbox.is_empty() {
                 return None;
             }
-            let arrived_at = client.arrival_time(0, context.clock.earliest_arrival_at());
+            let arrived_at = client.arrivals.time_of(0, context.clock.earliest_arrival_at());
             match client.phase {
                 ConnectionPhase::AwaitingStartup | ConnectionPhase::Idle => {}
                 ConnectionPhase::Busy(_) | ConnectionPhase::Lingering => return None,
@@ -128,12 +133,16 @@
                 self.defer(id, context);
                 return None;
             }
-            let inbox_bytes = client.inbox.len();
-            match take_message(client) {
-                Ok(Some(message)) => {
-                    context.work.count_message(inbox_bytes - client.inbox.len());
-                    if let Some(text) = self.on_message(id, message, context) {
-                        return Some(ClientEvent::Statement { text, arrived_at });
+            match take_message(&mut self.table[id]) {
+                Ok(Some(ClientMessage::Startup(startup, bytes))) => {
+                    context.work.count_message(bytes);
+                    self.on_startup(id, startup, context);
+                }
+                Ok(Some(ClientMessage::Regular(message))) => {
+                    context.work.count_message(message.0.len());
+                    let read_ahead_id = self.table[id].pipeline.take(message.0.len());
+                    if let Some(text) = self.on_message(id, &message, context) {
+                        return Some(ClientEvent::Statement { text, arrived_at, read_ahead_id });
                     }
                 }
                 // A long statement for which there is no memory is rejected before it is complete.
@@ -204,14 +213,7 @@
     }
 
     /// Handles a message; returns the text of a statement, which is left to the caller.
-    fn on_message(&mut self, id: usize, message: ClientMessage, context: &mut Context) -> Option<Bytes> {
-        let message = match message {
-            ClientMessage::Startup(startup) => {
-                self.on_startup(id, startup, context);
-                return None;
-            }
-            ClientMessage::Regular(message) => message,
-        };
+    fn on_message(&mut self, id: usize, message: &frame::Message, context: &mut Context) -> Option<Bytes> {
         match message.tag() {
             b'Q' => return self.on_query(id, message.query(), context),
             b'X' => self.set_phase(id, ConnectionPhase::Terminated, context),
--- a/crates/ottersill/src/client/table.rs
+++ b/crates/ottersill/src/client/table.rs
@@ -64,13 +64,14 @@
         self.stored_statement_bytes
     }
 
-    /// Updates the count of bytes stored for a connection: input that was read ahead, and the statement of its request in flight.
+    /// Updates the count of bytes stored for a connection: input that was read ahead, what is recorded of the statements in it, and
+    /// the statement of its request in flight.
     pub fn count_stored_bytes(&mut self, id: usize) {
         let Some(connection) = self.connections.get_mut(id) else { return };
         if !matches!(connection.phase, ConnectionPhase::Busy(_)) {
             connection.inbox.release_messages();
         }
-        let stored = connection.inbox.allocated_bytes();
+        let stored = connection.inbox.allocated_bytes() + connection.pipeline.allocated_bytes();
         self.stored_statement_bytes = self.stored_statement_bytes + stored - connection.stored_bytes;
         connection.stored_bytes = stored;
     }
--- a/crates/ottersill/src/client/time_limits.rs
+++ b/crates/ottersill/src/client/time_limits.rs
@@ -102,7 +102,7 @@
                 client.connected_at + INCOMPLETE_INPUT_TIMEOUT_SECONDS
             }
             ConnectionPhase::Idle if has_partial_message => {
-                let deadline = client.arrival_time(0, now) + INCOMPLETE_INPUT_TIMEOUT_SECONDS;
+                let deadline = client.arrivals.time_of(0, now) + INCOMPLETE_INPUT_TIMEOUT_SECONDS;
                 deadline.max(client.phase_since + REMAINDER_TIMEOUT_SECONDS).min(self.answer_deadline)
             }
             ConnectionPhase::Idle if !client.outbox.is_empty() => {
--- a/crates/ottersill/src/counters.rs
+++ b/crates/ottersill/src/counters.rs
@@ -36,6 +36,7 @@
     client_protocol_errors: "Client connections that violated the protocol.",
     empty_queries: "Empty queries.",
     invalid_queries: "Queries that are not a statement that this service accepts.",
+    duplicate_ids_refused: "Statements refused because their id belongs to another one that is open, or that may have run.",
     session_queries: "Queries refused because they depend on session state, or consist of several statements.",
     statements: "Statements accepted.",
     rejected_without_endpoint_list: "Statements rejected because no endpoint list had arrived yet.",
--- a/crates/ottersill/src/event_loop/answers.rs
+++ b/crates/ottersill/src/event_loop/answers.rs
@@ -72,7 +72,7 @@
         }
         let client = self.clients.get(request.client);
         if client.is_none_or(|client| socket::has_ended(&client.socket)) {
-            self.unanswered_writes.record(self.context.now(), request.id);
+            self.statement_ids.record_unanswered_write(self.context.now(), request.id);
         }
     }
 
--- a/crates/ottersill/src/event_loop/clients.rs
+++ b/crates/ottersill/src/event_loop/clients.rs
@@ -6,13 +6,17 @@
 use bytes::Bytes;
 use ottersill_routing::facade::RoutingEvent;
 use ottersill_routing::fair_queue::{ACCEPT_WORK, ORDINARY_SHARE, SIDE_SHARE};
+use ottersill_routing::statement_ids::IdConflict;
 use ottersill_statement::classify::StatementKind;
+use slog::info;
 
+use crate::client::connection::ClientConnection;
+use crate::client::pipelining::ReadAheadId;
 use crate::client::{AcceptOutcome, ClientEvent, MAX_ACCEPTS_PER_WAKE};
 use crate::event_loop::EventLoop;
 use crate::in_flight::{InFlightRequest, RequestPhase};
 use crate::reactor::Source;
-use crate::statement_checker::{CheckContext, CheckedStatement, Refusal};
+use crate::statement_checker::{CheckContext, CheckedStatement, QueryError, Refusal};
 
 impl EventLoop {
     /// Listens for clients. Returns the bound address, as the system chooses the port if `address` has port 0.
@@ -128,8 +132,8 @@
         let mut event = event;
         while let Some(next) = event {
             event = match next {
-                ClientEvent::Statement { text, arrived_at } => {
-                    self.on_statement(id, &text, arrived_at);
+                ClientEvent::Statement { text, arrived_at, read_ahead_id } => {
+                    self.on_statement(id, &text, arrived_at, read_ahead_id);
                     self.clients.next_event(id, &mut self.context)
                 }
                 ClientEvent::Disconnected { request_id } => return self.abandon_request(request_id),
@@ -139,11 +143,17 @@
 
     /// Checks a client's statement and passes it to the routing module. `arrived_at` is when its first byte arrived, in Unix
     /// seconds: the client's time limit starts there, however long the pipelined statements ahead of it took.
-    fn on_statement(&mut self, client: usize, text: &Bytes, arrived_at: f64) {
+    fn on_statement(
+        &mut self,
+        client: usize,
+        text: &Bytes,
+        arrived_at: f64,
+        read_ahead_id: Option<ReadAheadId>,
+    ) {
         let check_context = CheckContext {
             endpoints: &self.endpoints,
-            requests: &self.requests,
-            unanswered_writes: &mut self.unanswered_writes,
+            statement_ids: &self.statement_ids,
+            read_ahead_id,
             is_admitted: self.clients.get(client).is_some_and(|client| client.is_admitted),
         };
         match self.statements.check(text, check_context, &mut self.context) {
@@ -156,14 +166,27 @@
         let (clients, context) = (&mut self.clients, &mut self.context);
         match refusal {
             Refusal::Query(error) => clients.reject_query(client, error.code(), &error.to_string(), context),
+            Refusal::Id { id, conflict } => self.refuse_duplicate(client, id, conflict),
             Refusal::NoEndpointList => clients.reject_without_list(client, self.retry_after_seconds, context),
             Refusal::NoDescriptor => clients.reject_without_descriptor(client, context),
         }
     }
 
+    /// Refuses a statement whose id belongs to another one. Counts and logs it, as sound clients use each id once.
+    fn refuse_duplicate(&mut self, client: usize, id: u64, conflict: IdConflict) {
+        let error = QueryError::from(conflict);
+        self.context.counters.duplicate_ids_refused += 1;
+        if let Some(statements) = self.duplicate_ids.admit(self.context.now()) {
+            let address = self.clients.get(client).and_then(ClientConnection::peer_address);
+            info!(self.context.log, "statement refused"; "reason" => %error, "id" => format!("{id:x}"),
+                "client" => ?address, "statements" => statements);
+        }
+        self.clients.reject_query(client, error.code(), &error.to_string(), &mut self.context);
+    }
+
     fn accept_statement(&mut self, client: usize, statement: CheckedStatement, arrived_at: f64) {
         let own_deadline = arrived_at + statement.time_left;
-        let deadline = self.clients.statement_deadline(client, own_deadline, &self.context);
+        let deadline = self.clients.statement_deadline(client, own_deadline);
         let now = self.context.now();
         let seconds_since_write = statement.comment.after.map(|after| self.facade.since_commit(now, after));
         let request = statement.routing_request(deadline, now, seconds_since_write);
@@ -171,6 +194,7 @@
             phase: RequestPhase::Waiting,
             client,
             id: statement.comment.id,
+            held_id: Some(statement.held_id),
             text: statement.text,
             cache_key: statement.info.key,
             arrived_at,
@@ -193,7 +217,7 @@
     fn abandon_request(&mut self, request_id: usize) {
         let Some(request) = self.requests.get(request_id) else { return };
         if request.may_write && request.may_have_run {
-            self.unanswered_writes.record(self.context.now(), request.id);
+            self.statement_ids.record_unanswered_write(self.context.now(), request.id);
         }
         let next = match request.phase {
             RequestPhase::AttemptInFlight(backend) => RequestPhase::Abandoned(backend),
--- a/crates/ottersill/src/event_loop/mod.rs
+++ b/crates/ottersill/src/event_loop/mod.rs
@@ -12,7 +12,7 @@
 use ottersill_routing::facade::{Decision, Facade, PickRequest, RoutingAction, RoutingEvent};
 use ottersill_routing::fair_queue::FairQueue;
 use ottersill_routing::interface::{Request, RoutingConfig};
-use ottersill_routing::unanswered_writes::UnansweredWrites;
+use ottersill_routing::statement_ids::StatementIds;
 use slog::{Logger, info};
 
 use crate::backend::Backends;
@@ -38,8 +38,8 @@
     facade: Facade,
     /// The requests in flight.
     requests: InFlightRequests,
-    /// The ids of writes that may have run and whose clients have left.
-    unanswered_writes: UnansweredWrites,
+    /// The ids of all statements.
+    statement_ids: StatementIds,
     /// The endpoints known from discovery.
     endpoints: EndpointRegistry,
     /// Client connections.
@@ -66,6 +66,8 @@
     retry_after_seconds: f64,
     /// Limits the log lines about late answers.
     late_answers: LogThrottle,
+    /// Limits the log lines about statements refused for their ids.
+    duplicate_ids: LogThrottle,
     /// Limits the log lines about requests that are answered without a result.
     unserved_requests: LogThrottle,
 }
@@ -84,12 +86,13 @@
         let context = Context::new(handle, log);
         let now = context.now();
         let retry_after_seconds = routing_config.max_retry_after;
+        let statement_ids = StatementIds::default();
         EventLoop {
             requests: InFlightRequests::default(),
-            unanswered_writes: UnansweredWrites::default(),
             endpoints: EndpointRegistry::new(names.sites.clone()),
             statements: StatementChecker::new(now, names, &routing_config, limits.fingerprint_bytes),
-            clients: Clients::new(limits),
+            clients: Clients::new(limits, statement_ids.clone()),
+            statement_ids,
             backends: Backends::new(timeouts),
             discovery: DiscoveryClient::new(discovery, timeouts.drain_grace),
             fleet_link: None,
@@ -100,6 +103,7 @@
             context,
             retry_after_seconds,
             late_answers: LogThrottle::default(),
+            duplicate_ids: LogThrottle::default(),
             unserved_requests: LogThrottle::default(),
             facade: Facade::start(now, routing_config),
         }
@@ -270,7 +274,7 @@
         self.statements.log_counters(log);
         info!(log, "counters: {}", self.context.counters; "invariant_violations_total" => self.invariant_violations(),
             "client_connections_open" => self.clients.len(), "backend_connections_open" => self.backends.len(),
-            "statements_in_flight" => self.requests.count(),
+            "statements_in_flight" => self.requests.count(), "statement_ids_held" => self.statement_ids.held(),
             "statement_bytes_stored" => self.clients.stored_statement_bytes());
         info!(log, "event loop: {}", self.context.statistics);
     }
--- a/crates/ottersill/src/event_loop/outcomes.rs
+++ b/crates/ottersill/src/event_loop/outcomes.rs
@@ -48,7 +48,7 @@
     fn record_unanswered_write(&mut self, request_id: usize, outcome: AttemptOutcome) {
         let Some(request) = self.requests.get(request_id) else { return };
         if request.may_write && (request.may_have_run || !outcome.had_no_effect()) {
-            self.unanswered_writes.record(self.context.now(), request.id);
+            self.statement_ids.record_unanswered_write(self.context.now(), request.id);
         }
     }
 
--- a/crates/ottersill/src/in_flight.rs
+++ b/crates/ottersill/src/in_flight.rs
@@ -1,16 +1,16 @@
 //! The requests in flight, by the numbers that the routing module gave them.
 
-use std::collections::BTreeSet;
-
+use ottersill_routing::statement_ids::HeldId;
 use ottersill_statement::fingerprint_cache::CacheKey;
 
 use crate::counters::Counters;
 use crate::protocol::statement_text::StatementText;
 
 /// The phase of a request.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum RequestPhase {
     /// No request has this number.
+    #[default]
     Vacant,
     /// The routing module has deferred the request, or is about to decide about it.
     Waiting,
@@ -35,7 +35,7 @@
 }
 
 /// A request from its acceptance to its final answer.
-#[derive(Clone, Debug)]
+#[derive(Debug, Default)]
 pub struct InFlightRequest {
     /// Changed only by [`InFlightRequests::transition`].
     pub phase: RequestPhase,
@@ -43,6 +43,8 @@
     pub client: usize,
     /// The number of the statement's `id`, by which endpoints recognize attempts of the same statement.
     pub id: u64,
+    /// Keeps other statements from using the id; none once no attempt can be in flight any more.
+    pub held_id: Option<HeldId>,
     /// The statement. It is kept after its message is processed, as it may be sent more than once, and is dropped with the final
     /// answer.
     pub text: StatementText,
@@ -63,15 +65,12 @@
 pub struct InFlightRequests {
     by_id: Vec<InFlightRequest>,
     in_flight: usize,
-    /// The statement ids of the requests in flight.
-    ids: BTreeSet<u64>,
 }
 
 impl InFlightRequests {
     /// Adds a request under the id that the routing module assigned.
     pub fn insert(&mut self, index: usize, new: InFlightRequest, counters: &mut Counters) {
-        let vacant = InFlightRequest { phase: RequestPhase::Vacant, text: StatementText::default(), ..new };
-        self.by_id.resize(self.by_id.len().max(index + 1), vacant);
+        self.by_id.resize_with(self.by_id.len().max(index + 1), InFlightRequest::default);
         counters.check_invariant(
             self.by_id[index].phase == RequestPhase::Vacant,
             "a number is given to one request at a time",
@@ -89,13 +88,10 @@
             "a request changes its phase only as RequestPhase::may_become allows",
         );
         match (request.phase, next) {
-            (RequestPhase::Vacant, _) => {
-                self.in_flight += 1;
-                self.ids.insert(request.id);
-            }
+            (RequestPhase::Vacant, _) => self.in_flight += 1,
             (_, RequestPhase::Vacant) => {
                 self.in_flight -= 1;
-                self.ids.remove(&request.id);
+                request.held_id = None;
                 request.text = StatementText::default();
             }
             // An abandoned request is never sent again.
@@ -115,11 +111,6 @@
         self.by_id[index].may_have_run = true;
     }
 
-    /// Returns whether a request with that statement id is in flight.
-    pub fn contains_id(&self, id: u64) -> bool {
-        self.ids.contains(&id)
-    }
-
     /// Returns the number of requests in flight.
     pub fn count(&self) -> usize {
         self.in_flight
--- a/crates/ottersill/src/protocol/frame.rs
+++ b/crates/ottersill/src/protocol/frame.rs
@@ -12,6 +12,9 @@
 /// Limit on the size of a startup message, which holds a few names.
 pub const MAX_STARTUP_BYTES: usize = 10_000;
 
+/// Length of a message's header: its tag and its length field.
+const MESSAGE_HEADER_BYTES: usize = 5;
+
 const PROTOCOL_3: u32 = 3 << 16;
 const CANCEL_REQUEST: u32 = (1234 << 16) | 5678;
 const SSL_REQUEST: u32 = (1234 << 16) | 5679;
@@ -117,6 +120,15 @@
     }
 }
 
+/// Returns the text of a complete message that is a Query, without the zero byte that has to end it; `None` for any other
+/// message.
+pub fn query_text(message: &[u8]) -> Option<&[u8]> {
+    match message.split_at_checked(MESSAGE_HEADER_BYTES)? {
+        ([b'Q', ..], [text @ .., 0]) => Some(text),
+        _ => None,
+    }
+}
+
 /// Returns the length of the next message, header included, which may not be complete yet; `None` if its header is not complete,
 /// or invalid.
 pub fn declared_length(inbox: &[u8]) -> Option<usize> {
--- a/crates/ottersill/src/protocol/statement_text.rs
+++ b/crates/ottersill/src/protocol/statement_text.rs
@@ -154,7 +154,7 @@
         if scan.text_follows_comment {
             return Err(StatementTextError::TextBehindComment);
         }
-        let fields = CommentFields::read(text, comment.start + 2..comment.end - 2)?;
+        let fields = CommentFields::read(text, comment_content(comment.clone()))?;
         let id = fields.id.filter(|id| !id.is_empty()).ok_or(StatementTextError::NoId)?;
         let parsed = StatementComment {
             id: to_number(id),
@@ -196,18 +196,46 @@
     }
 }
 
-/// Upper bound on the length of a comment of this service.
-const MAX_COMMENT_BYTES: usize = 512;
-
-/// Returns how long a client waits for a statement, in seconds, read from the end of its text without scanning the rest. That is
-/// accurate enough to handle the statements ahead of it in the pipeline. [`StatementText::parse`] validates the text when the
-/// statement is handled.
-pub fn peek_time_left_seconds(text: &[u8]) -> Option<f64> {
-    let end = &text[text.len().saturating_sub(MAX_COMMENT_BYTES)..];
-    let open = end.windows(2).rposition(|two| two == b"/*")?;
-    let comment = std::str::from_utf8(&end[open + 2..]).ok()?;
-    let digits = comment.split([',', '*']).find_map(|pair| pair.trim().strip_prefix("d="))?;
-    digits.parse::<u32>().ok().map(|ms| f64::from(ms) / 1000.0)
+/// What is read of a statement's comment before the statement's turn.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct CommentPreview {
+    /// A number that represents the statement's `id`, the same as [`StatementComment::id`].
+    pub id: u64,
+    /// How long the client waits, in seconds, if the comment tells.
+    pub time_left: Option<f64>,
+}
+
+/// Reads the comment at the end of a query's text without scanning the text ahead of it; `None` if it has no id. For a text that
+/// [`StatementText::parse`] accepts, both read the same comment. A text that it refuses may have a preview.
+pub fn preview_comment(text: &[u8]) -> Option<CommentPreview> {
+    let comment = std::str::from_utf8(&text[last_comment(text)?]).ok()?;
+    let fields = CommentFields::read(comment, comment_content(0..comment.len())).ok()?;
+    let id = fields.id.filter(|id| !id.is_empty())?;
+    Some(CommentPreview { id: to_number(id), time_left: fields.time_left })
+}
+
+/// Returns the position of the block comment that ends the text, delimiters included. Comments may be nested.
+fn last_comment(text: &[u8]) -> Option<Range<usize>> {
+    let is_filler = |byte: &u8| byte.is_ascii_whitespace() || *byte == b';';
+    let end = text.iter().rposition(|byte| !is_filler(byte))? + 1;
+    if !text[..end].ends_with(b"*/") {
+        return None;
+    }
+    let (mut at, mut depth) = (end, 0);
+    while at >= 2 {
+        match &text[at - 2..at] {
+            b"*/" => (at, depth) = (at - 2, depth + 1),
+            b"/*" if depth == 1 => return Some(at - 2..end),
+            b"/*" => (at, depth) = (at - 2, depth - 1),
+            _ => at -= 1,
+        }
+    }
+    None
+}
+
+/// Returns the position of a block comment's content, without its delimiters.
+fn comment_content(comment: Range<usize>) -> Range<usize> {
+    comment.start + 2..comment.end - 2
 }
 
 /// Returns a number for the session of a statement. Its first literal is the key, which identifies the session in workloads that
--- a/crates/ottersill/src/statement_checker.rs
+++ b/crates/ottersill/src/statement_checker.rs
@@ -4,7 +4,7 @@
 use ottersill_config::deployment::DeploymentNames;
 use ottersill_routing::Router;
 use ottersill_routing::interface::{Request, RoutingConfig, WorkEstimate};
-use ottersill_routing::unanswered_writes::UnansweredWrites;
+use ottersill_routing::statement_ids::{HeldId, IdConflict, StatementIds};
 use ottersill_statement::classify;
 use ottersill_statement::classify::StatementKind;
 use ottersill_statement::fingerprint::Key;
@@ -12,8 +12,8 @@
 use slog::{Logger, info};
 use thiserror::Error;
 
+use crate::client::pipelining::ReadAheadId;
 use crate::discovery::registry::EndpointRegistry;
-use crate::in_flight::InFlightRequests;
 use crate::log_throttle::LogThrottle;
 use crate::protocol::frame::ErrorCode;
 use crate::protocol::statement_text::{StatementComment, StatementText, StatementTextError};
@@ -24,6 +24,13 @@
 pub enum Refusal {
     /// The query is not a statement that this service accepts.
     Query(QueryError),
+    /// Its id can't be used for it.
+    Id {
+        /// The number of the id.
+        id: u64,
+        /// Why it can't be used.
+        conflict: IdConflict,
+    },
     /// No endpoint list has arrived yet.
     NoEndpointList,
     /// No descriptor is left for its client.
@@ -42,7 +49,7 @@
     /// Its comment names a replica set to which no endpoint belongs.
     #[error("no list has named this cluster")]
     UnknownGroup,
-    /// Another request with the same `id` is in flight.
+    /// Another statement with the same `id` has been read and is not answered.
     #[error("a statement with this id is open")]
     DuplicateId,
     /// A write with the same `id` may have run, and its client left before the answer.
@@ -66,12 +73,23 @@
     }
 }
 
+impl From<IdConflict> for QueryError {
+    fn from(conflict: IdConflict) -> QueryError {
+        match conflict {
+            IdConflict::Held => QueryError::DuplicateId,
+            IdConflict::MayHaveRun => QueryError::MayHaveRun,
+        }
+    }
+}
+
 /// A statement that may be passed to the routing module.
 pub struct CheckedStatement<'a> {
     /// The statement as it is sent to endpoints.
     pub text: StatementText,
     /// The fields of its comment.
     pub comment: StatementComment<'a>,
+    /// Its id, which no other statement may use.
+    pub held_id: HeldId,
     /// What is known about its fingerprint.
     pub info: StatementInfo,
     /// The index of its workload.
@@ -108,10 +126,10 @@
 pub struct CheckContext<'a> {
     /// The known endpoints and replica sets.
     pub endpoints: &'a EndpointRegistry,
-    /// The requests in flight.
-    pub requests: &'a InFlightRequests,
-    /// The ids of writes that may have run and whose clients have left.
-    pub unanswered_writes: &'a mut UnansweredWrites,
+    /// The ids of all statements.
+    pub statement_ids: &'a StatementIds,
+    /// The id of the statement, if it was read ahead.
+    pub read_ahead_id: Option<ReadAheadId>,
     /// Whether the statement's client is admitted.
     pub is_admitted: bool,
 }
@@ -149,7 +167,8 @@
         let (statement, comment) = parsed.map_err(|error| Refusal::Query(error.into()))?;
         let workload = self.names.workloads.iter().position(|name| name == comment.workload);
         let workload = workload.ok_or(Refusal::Query(QueryError::UnknownWorkload))?;
-        let group = find_group(&comment, check_context, context.now())?;
+        let group = find_group(&comment, &check_context)?;
+        let held_id = hold_id(comment.id, check_context, context.now())?;
         let info = self.fingerprints.lookup(context.now(), workload, text, scan.fingerprint);
         if let Some(reason) = info.refusal {
             context.counters.session_queries += 1;
@@ -160,7 +179,7 @@
             self.log_write_classification(workload, text, &info, context);
         }
         let time_left = comment.time_left.min(self.names.statement_timeouts[workload]);
-        Ok(CheckedStatement { text: statement, comment, info, workload, group, time_left })
+        Ok(CheckedStatement { text: statement, comment, held_id, info, workload, group, time_left })
     }
 
     /// Records, for later statements with the same fingerprint, that an attempt was completed after `elapsed` seconds.
@@ -215,23 +234,24 @@
     }
 }
 
-/// Returns the replica set of a statement, if its client and its id allow it to be accepted.
-fn find_group(comment: &StatementComment, check_context: CheckContext, now: f64) -> Result<usize, Refusal> {
-    let CheckContext { endpoints, requests, unanswered_writes, is_admitted } = check_context;
-    if endpoints.is_empty() {
+/// Returns the replica set of a statement, if its client allows it to be accepted.
+fn find_group(comment: &StatementComment, check_context: &CheckContext) -> Result<usize, Refusal> {
+    if check_context.endpoints.is_empty() {
         return Err(Refusal::NoEndpointList);
     }
-    let group = endpoints.group(comment.cluster);
+    let group = check_context.endpoints.group(comment.cluster);
     let group = group.ok_or(Refusal::Query(QueryError::UnknownGroup))?;
-    if !is_admitted {
+    if !check_context.is_admitted {
         return Err(Refusal::NoDescriptor);
     }
-    if requests.contains_id(comment.id) {
-        // Endpoints would treat it as another attempt of the request that is in flight.
-        return Err(Refusal::Query(QueryError::DuplicateId));
-    }
-    if unanswered_writes.contains(now, comment.id) {
-        return Err(Refusal::Query(QueryError::MayHaveRun));
-    }
     Ok(group)
 }
+
+/// Returns the id of a statement, held for it. Endpoints would treat a second statement with the id as another attempt of the
+/// first.
+fn hold_id(id: u64, check_context: CheckContext, now: f64) -> Result<HeldId, Refusal> {
+    let CheckContext { statement_ids, read_ahead_id, .. } = check_context;
+    let read_ahead = read_ahead_id.filter(|read_ahead| read_ahead.id == id);
+    let held = read_ahead.map_or_else(|| statement_ids.hold(now, id), |read_ahead| read_ahead.held);
+    held.map_err(|conflict| Refusal::Id { id, conflict })
+}
--- /dev/null
+++ b/crates/ottersill/tests/copied_ids.rs
@@ -0,0 +1,192 @@
+//! A client that sends the id of another client's open statement: the statement that was read first keeps its id, in whatever
+//! place it waits for its turn, and the copy gets an error.
+
+mod support;
+
+use std::io::Write;
+use std::time::Duration;
+
+use ottersill_testkit::stand_in::{Client, message};
+use rstest::rstest;
+use support::in_process::InProcessRouter;
+use support::*;
+
+/// How long the endpoints are watched for statements that should not come.
+const WATCHED: Duration = Duration::from_millis(300);
+
+/// The settings of these tests: answers may take as long as a test delays them.
+const SETTINGS: [(&str, &str); 2] = [LONG_STATEMENT_TIMEOUT, LONG_SLO_TIME];
+
+fn query(text: &str) -> Vec<u8> {
+    message(b'Q', format!("{text}\0").as_bytes())
+}
+
+/// Sends queries at once, one behind the other.
+fn send_pipelined(client: &mut Client, texts: &[String]) {
+    let bytes: Vec<u8> = texts.iter().flat_map(|text| query(text)).collect();
+    client.socket.write_all(&bytes).expect("queries could not be sent");
+}
+
+/// A client whose read runs at the replica, with other statements behind it that the router has read.
+fn pipelining_client(fixture: &Fixture, read_number: u32, behind: &[u8]) -> Client {
+    let mut client = fixture.router.client();
+    let mut bytes = query(&read(read_number, 8000));
+    bytes.extend_from_slice(behind);
+    client.socket.write_all(&bytes).expect("queries could not be sent");
+    let address = client.socket.local_addr().expect("no address");
+    wait_until("the router reads the pipeline", || may_have_read_all(fixture.router.address, address));
+    client
+}
+
+fn assert_refused_as_copy(answer: &str) {
+    assert!(answer.contains("C08P01"), "{answer}");
+}
+
+fn assert_served(client: &mut Client, row: &str) {
+    let answer = client.read_answer().expect("no answer");
+    assert!(answer.starts_with(&format!("row:{row} ")), "{answer}");
+}
+
+/// Guards against a write that runs twice: its id was not known while it waited behind another statement of its client, so copies
+/// of it were served. Each copy is refused, whatever became of the ones before.
+#[rstest]
+#[case::one_copy(&[write(7, 8000)])]
+#[case::three_copies(&[write(7, 8000), write(7, 8000), write(7, 8000)])]
+#[case::id_in_capitals(&[write(7, 8000).replace("id=b7", "id=B7")])]
+#[case::on_a_read(&[read(7, 8000).replace("id=a7", "id=b7")])]
+fn copies_of_a_pipelined_write_are_refused(#[case] copies: &[String]) {
+    let fixture = Fixture::start(&SETTINGS);
+    let mut owner = pipelining_client(&fixture, 2, &query(&write(7, 8000)));
+    let running = fixture.replica.next_statement();
+    for copy in copies {
+        assert_refused_as_copy(&fixture.router.client().query(copy).expect("no answer"));
+    }
+    running.answer("first");
+    fixture.primary.next_statement().answer("own");
+    assert_served(&mut owner, "first");
+    assert_served(&mut owner, "own");
+    assert!(fixture.primary.next_within(WATCHED).is_none(), "the write was sent again");
+}
+
+/// Guards against a write that runs twice: its copy waits in a pipeline itself, and its turn comes only once the write is answered
+/// and its id looks new.
+#[rstest]
+#[case::of_a_write_in_flight(false)]
+#[case::of_a_pipelined_write(true)]
+fn a_copy_that_waits_in_a_pipeline_is_refused_after_the_write_is_answered(#[case] owner_waits: bool) {
+    let fixture = Fixture::start(&SETTINGS);
+    let (mut owner, owner_read) = if owner_waits {
+        let owner = pipelining_client(&fixture, 2, &query(&write(7, 8000)));
+        (owner, Some(fixture.replica.next_statement()))
+    } else {
+        let mut owner = fixture.router.client();
+        owner.send(&write(7, 8000)).expect("query could not be sent");
+        (owner, None)
+    };
+    let own_write = if owner_waits { None } else { Some(fixture.primary.next_statement()) };
+    let mut copier = pipelining_client(&fixture, 3, &query(&write(7, 8000)));
+    let copier_read = fixture.replica.next_statement();
+    if let Some(owner_read) = owner_read {
+        owner_read.answer("first");
+        assert_served(&mut owner, "first");
+    }
+    own_write.unwrap_or_else(|| fixture.primary.next_statement()).answer("own");
+    assert_served(&mut owner, "own");
+    copier_read.answer("copier's");
+    assert_served(&mut copier, "copier's");
+    assert_refused_as_copy(&copier.read_answer().expect("no answer"));
+    assert!(fixture.primary.next_within(WATCHED).is_none(), "the write was sent again");
+}
+
+/// Guards against a write that runs twice as its client sends it twice at once.
+#[test]
+fn the_second_of_two_statements_with_one_id_in_a_pipeline_is_refused() {
+    let fixture = Fixture::start(&SETTINGS);
+    let behind = [query(&write(7, 8000)), query(&write(7, 8000)), query(&write(8, 8000))].concat();
+    let mut owner = pipelining_client(&fixture, 2, &behind);
+    fixture.replica.next_statement().answer("first");
+    fixture.primary.next_statement().answer("own");
+    fixture.primary.next_statement().answer("next");
+    assert_served(&mut owner, "first");
+    assert_served(&mut owner, "own");
+    assert_refused_as_copy(&owner.read_answer().expect("no answer"));
+    assert_served(&mut owner, "next");
+}
+
+/// How a pipelined write ends without having run.
+#[derive(Clone, Copy, Debug)]
+enum EndWithoutRunning {
+    ClientCloses,
+    RefusedAtItsTurn,
+    BehindAnUnsupportedMessage,
+    BehindTerminate,
+    NotWhole,
+}
+
+impl EndWithoutRunning {
+    /// The bytes that a client sends behind its read.
+    fn pipeline(self) -> Vec<u8> {
+        let whole = query(&write(7, 8000));
+        match self {
+            EndWithoutRunning::ClientCloses => whole,
+            EndWithoutRunning::RefusedAtItsTurn => query(&write(7, 8000).replace("c=put", "c=unknown")),
+            EndWithoutRunning::BehindAnUnsupportedMessage => [message(b'S', b""), whole].concat(),
+            EndWithoutRunning::BehindTerminate => [message(b'X', b""), whole].concat(),
+            EndWithoutRunning::NotWhole => whole[..whole.len() - 1].to_vec(),
+        }
+    }
+}
+
+/// Guards against an id that is never released, so that a sound client that sends the statement again is refused for ever.
+#[rstest]
+fn the_id_of_a_pipelined_write_that_does_not_run_can_be_used_again(
+    #[values(
+        EndWithoutRunning::ClientCloses,
+        EndWithoutRunning::RefusedAtItsTurn,
+        EndWithoutRunning::BehindAnUnsupportedMessage,
+        EndWithoutRunning::BehindTerminate,
+        EndWithoutRunning::NotWhole
+    )]
+    end: EndWithoutRunning,
+) {
+    let fixture = Fixture::start(&SETTINGS);
+    let mut first = pipelining_client(&fixture, 2, &end.pipeline());
+    let address = first.socket.local_addr().expect("no address");
+    let running = fixture.replica.next_statement();
+    if matches!(end, EndWithoutRunning::ClientCloses) {
+        drop(first);
+        wait_until_closed(fixture.router.address, address);
+        running.answer("unread");
+    } else {
+        running.answer("first");
+        assert_served(&mut first, "first");
+        if !matches!(end, EndWithoutRunning::NotWhole | EndWithoutRunning::BehindTerminate) {
+            assert!(matches!(first.receive_message(), Ok((b'E', _))), "no error");
+        }
+    }
+    let mut second = fixture.router.client();
+    second.send(&write(7, 8000)).expect("query could not be sent");
+    fixture.primary.next_statement().answer("again");
+    assert_served(&mut second, "again");
+}
+
+/// Guards against a write that runs twice: it waits behind more messages than its client's share of an iteration.
+#[test]
+fn a_copy_of_a_write_behind_its_clients_share_is_refused() {
+    const EMPTY_QUERIES: usize = 400;
+    let mut router = InProcessRouter::start();
+    let (mut copier, mut owner) = (router.client(), router.client());
+    copier.read_answer().expect("no greeting");
+    owner.read_answer().expect("no greeting");
+    let mut texts = vec![String::new(); EMPTY_QUERIES];
+    texts.push(write(7, 8000));
+    send_pipelined(&mut owner, &texts);
+    router.poll_once();
+    copier.send(&write(7, 8000)).expect("query could not be sent");
+    router.poll_for(Duration::from_millis(100));
+    router.next_statement(|router| &router.primary).answer("own");
+    router.poll_for(Duration::from_millis(100));
+    assert_refused_as_copy(&copier.read_answer().expect("no answer"));
+    (0..EMPTY_QUERIES).for_each(|_| assert_eq!(owner.read_answer().expect("no answer"), "empty"));
+    assert_served(&mut owner, "own");
+}
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -19,8 +19,9 @@
 //! 8. The types that hold these states: `endpoint`, `replica_set`, `state`; and, below all others, `ids`, `clock`, `sampling`,
 //!    `convert`.
 //!
-//! Two modules stand apart, for the caller: [`fair_queue`], the order in which it serves its sources of work and how much of each at
-//! a time; [`unanswered_writes`], the ids that must not run again.
+//! Three modules stand apart, for the caller: [`fair_queue`], the order in which it serves its sources of work and how much of each
+//! at a time; [`statement_ids`], which of two statements with one id is the first; [`unanswered_writes`], the ids that must not run
+//! again.
 //!
 //! No two modules import each other: imports lead from `facade` and `router` down to `ids`, `clock`, `sampling`, `convert`
 //! and `interface`.
@@ -61,6 +62,7 @@
 mod selection;
 mod slow_start;
 mod state;
+pub mod statement_ids;
 mod stats;
 mod throughput;
 mod time_conversion;
