Do not run a write again whose copy is read after the write's answer

What callers saw: a write took effect twice. A copy of it was sent while it was open, but lay unread until its answer had been written; then its id looked new. The same happened to a write of which the router read the last byte only after its copy had run, and after an abort (40003).

Cause: the ids of writes that may have run were kept only if their clients had left before the answer (event_loop/answers.rs, remember_if_unread). Between the write of an answer and the read of a copy there is at least the rest of an iteration, and as long as the copy lies unread.

Rejected writes and all reads can be sent again (an_id_without_an_effect_can_be_used_again_after_the_answer). A copy of a read that is read after the answer is served: it has no effect. One query of the socket for each answered write is gone. The gauge executed_write_ids_kept tells how many are kept.

--- a/crates/ottersill/src/event_loop/answers.rs
+++ b/crates/ottersill/src/event_loop/answers.rs
@@ -9,7 +9,6 @@
 use crate::in_flight::RequestPhase;
 use crate::protocol::frame;
 use crate::protocol::frame::ErrorCode;
-use crate::protocol::socket;
 
 /// How long after its client's time limit an answer still counts as in time: the tolerance of the protocol's time limits.
 const ANSWER_TOLERANCE_SECONDS: f64 = 0.05;
@@ -58,21 +57,17 @@
     fn answer<const N: usize>(&mut self, request_id: usize, kind: FinalAnswer, slices: [Bytes; N]) {
         let Some(request) = self.requests.get(request_id) else { return };
         let client = request.client;
-        self.remember_if_unread(request_id, kind);
+        self.record_write_if_executed(request_id, kind);
         self.record_answer(request_id, kind);
         self.requests.transition(request_id, RequestPhase::Vacant, &mut self.context.counters);
         self.clients.answer(client, slices, &mut self.context);
     }
 
-    /// Remembers the id of a write that may have run if its client has closed its connection, and so does not read the answer.
-    fn remember_if_unread(&mut self, request_id: usize, kind: FinalAnswer) {
+    /// Records the id of a write that has run or may have run: a copy of the statement may still lie unread.
+    fn record_write_if_executed(&mut self, request_id: usize, kind: FinalAnswer) {
         let Some(request) = self.requests.get(request_id) else { return };
-        if !request.may_write || (kind != FinalAnswer::Completed && !request.may_have_run) {
-            return;
-        }
-        let client = self.clients.get(request.client);
-        if client.is_none_or(|client| socket::has_ended(&client.socket)) {
-            self.statement_ids.record_unanswered_write(self.context.now(), request.id);
+        if request.may_write && (kind == FinalAnswer::Completed || request.may_have_run) {
+            self.statement_ids.record_executed_write(self.context.now(), request.id);
         }
     }
 
--- a/crates/ottersill/src/event_loop/clients.rs
+++ b/crates/ottersill/src/event_loop/clients.rs
@@ -217,7 +217,7 @@
     fn abandon_request(&mut self, request_id: usize) {
         let Some(request) = self.requests.get(request_id) else { return };
         if request.may_write && request.may_have_run {
-            self.statement_ids.record_unanswered_write(self.context.now(), request.id);
+            self.statement_ids.record_executed_write(self.context.now(), request.id);
         }
         let next = match request.phase {
             RequestPhase::AttemptInFlight(backend) => RequestPhase::Abandoned(backend),
--- a/crates/ottersill/src/event_loop/mod.rs
+++ b/crates/ottersill/src/event_loop/mod.rs
@@ -275,6 +275,7 @@
         info!(log, "counters: {}", self.context.counters; "invariant_violations_total" => self.invariant_violations(),
             "client_connections_open" => self.clients.len(), "backend_connections_open" => self.backends.len(),
             "statements_in_flight" => self.requests.count(), "statement_ids_held" => self.statement_ids.held(),
+            "executed_write_ids_kept" => self.statement_ids.executed_writes(),
             "statement_bytes_stored" => self.clients.stored_statement_bytes());
         info!(log, "event loop: {}", self.context.statistics);
     }
--- a/crates/ottersill/src/event_loop/outcomes.rs
+++ b/crates/ottersill/src/event_loop/outcomes.rs
@@ -34,7 +34,7 @@
         }
         let is_abandoned = matches!(phase, Some(RequestPhase::Abandoned(_)));
         if is_abandoned {
-            self.record_unanswered_write(request_id, outcome);
+            self.record_abandoned_write(request_id, outcome);
             self.requests.transition(request_id, RequestPhase::Vacant, &mut self.context.counters);
         } else if outcome == AttemptOutcome::Completed {
             self.complete(request_id, reply.take_client_messages());
@@ -45,10 +45,10 @@
     }
 
     /// Records that a write may have run whose client has left.
-    fn record_unanswered_write(&mut self, request_id: usize, outcome: AttemptOutcome) {
+    fn record_abandoned_write(&mut self, request_id: usize, outcome: AttemptOutcome) {
         let Some(request) = self.requests.get(request_id) else { return };
         if request.may_write && (request.may_have_run || !outcome.had_no_effect()) {
-            self.statement_ids.record_unanswered_write(self.context.now(), request.id);
+            self.statement_ids.record_executed_write(self.context.now(), request.id);
         }
     }
 
--- a/crates/ottersill/src/statement_checker.rs
+++ b/crates/ottersill/src/statement_checker.rs
@@ -52,7 +52,7 @@
     /// Another statement with the same `id` has been read and is not answered.
     #[error("a statement with this id is open")]
     DuplicateId,
-    /// A write with the same `id` may have run, and its client left before the answer.
+    /// A write with the same `id` has run or may have run.
     #[error("aborted: a statement with this id may have run")]
     MayHaveRun,
     /// It depends on session state, or consists of several statements; the text gives the reason.
--- a/crates/ottersill/tests/copied_ids.rs
+++ b/crates/ottersill/tests/copied_ids.rs
@@ -190,3 +190,84 @@
     (0..EMPTY_QUERIES).for_each(|_| assert_eq!(owner.read_answer().expect("no answer"), "empty"));
     assert_served(&mut owner, "own");
 }
+
+/// Guards against a write that runs twice: its copy was sent while it was open, and is read only after its answer.
+#[test]
+fn a_copy_that_is_read_after_the_answer_is_refused() {
+    let fixture = Fixture::start(&SETTINGS);
+    let (mut owner, mut copier) = (fixture.router.client(), fixture.router.client());
+    let copier_address = copier.socket.local_addr().expect("no address");
+    owner.send(&write(7, 8000)).expect("query could not be sent");
+    let own_write = fixture.primary.next_statement();
+    fixture.router.signal("-STOP");
+    copier.send(&write(7, 8000)).expect("query could not be sent");
+    wait_until_unread_at_router(fixture.router.address, copier_address);
+    own_write.answer("own");
+    wait_until_unread_from(fixture.primary.address);
+    fixture.router.signal("-CONT");
+    assert_served(&mut owner, "own");
+    let answer = copier.read_answer().expect("no answer");
+    assert!(answer.contains("C40003"), "{answer}");
+    assert!(fixture.primary.next_within(WATCHED).is_none(), "the write was sent again");
+}
+
+/// Guards against a write that runs twice: it may have run, its client was told so, and its copy is read after that.
+#[test]
+fn a_copy_that_is_read_after_an_abort_is_refused() {
+    let fixture = Fixture::start(&SETTINGS);
+    let mut owner = fixture.router.client();
+    owner.send(&write(7, 8000)).expect("query could not be sent");
+    fixture.primary.next_statement().fail("XX000");
+    assert!(owner.read_answer().expect("no answer").contains("C40003"));
+    let answer = fixture.router.client().query(&write(7, 8000)).expect("no answer");
+    assert!(answer.contains("C40003"), "{answer}");
+    assert!(fixture.primary.next_within(WATCHED).is_none(), "the write was sent again");
+}
+
+/// Guards against a write that runs twice: the router reads the last byte of the write only after its copy has run, so the copy is
+/// the first of them to it.
+#[test]
+fn a_write_that_becomes_complete_after_its_copy_ran_is_not_sent() {
+    let fixture = Fixture::start(&SETTINGS);
+    let whole = query(&write(7, 8000));
+    let (all_but_the_last_byte, last_byte) = whole.split_at(whole.len() - 1);
+    let mut owner = pipelining_client(&fixture, 2, all_but_the_last_byte);
+    let running = fixture.replica.next_statement();
+    let mut copier = fixture.router.client();
+    copier.send(&write(7, 8000)).expect("query could not be sent");
+    fixture.primary.next_statement().answer("copier's");
+    assert_served(&mut copier, "copier's");
+    owner.socket.write_all(last_byte).expect("query could not be sent");
+    running.answer("first");
+    assert_served(&mut owner, "first");
+    let answer = owner.read_answer().expect("no answer");
+    assert!(answer.contains("C40003"), "{answer}");
+    assert!(fixture.primary.next_within(WATCHED).is_none(), "the write was sent again");
+}
+
+/// Guards against a sound client that is refused: its write was rejected and certainly did not run, or it sends a read again.
+#[rstest]
+#[case::rejected_write(write(7, 400), true)]
+#[case::answered_read(read(7, 8000), false)]
+fn an_id_without_an_effect_can_be_used_again_after_the_answer(
+    #[case] text: String,
+    #[case] is_rejected: bool,
+) {
+    let fixture = Fixture::start(&SETTINGS);
+    let endpoint = if is_rejected { &fixture.primary } else { &fixture.replica };
+    let mut owner = fixture.router.client();
+    owner.send(&text).expect("query could not be sent");
+    if is_rejected {
+        while let Some(attempt) = endpoint.next_within(Duration::from_millis(600)) {
+            attempt.fail("53300");
+        }
+        assert!(owner.read_answer().expect("no answer").contains("C53300"));
+    } else {
+        endpoint.next_statement().answer("first");
+        assert_served(&mut owner, "first");
+    }
+    let mut second = fixture.router.client();
+    second.send(&text.replace("d=400", "d=8000")).expect("query could not be sent");
+    endpoint.next_statement().answer("again");
+    assert_served(&mut second, "again");
+}
--- a/crates/ottersill/tests/service/client_protocol.rs
+++ b/crates/ottersill/tests/service/client_protocol.rs
@@ -7,7 +7,7 @@
 use ottersill_testkit::stand_in::{Behaviour, Client, message};
 use rstest::rstest;
 
-use crate::fixture::{TIMEOUT, read, start_service, wait_until, write};
+use crate::fixture::{TIMEOUT, read, start_service, wait_until, write, write_with_id};
 
 #[test]
 fn pipelined_queries_sent_byte_by_byte_are_answered_in_order() {
@@ -60,20 +60,24 @@
     assert!(client.query(&read(2000)).expect("no answer").starts_with("row:"));
 }
 
-/// Sent on, the statement would be taken for a second attempt of the one in flight.
+/// Sent on, the statement would be taken for a second attempt of the one in flight, and later for one of a write that may have run.
 #[test]
 fn a_statement_with_an_id_in_flight_is_refused() {
     let service = start_service(1024);
     let (mut first, mut second) = (service.client(), service.client());
     service.store.set_behaviour(0, Behaviour::NeverAnswers);
-    first.send(&write("bf", 700)).expect("query could not be sent");
+    let id = 0xffff;
+    first.send(&write_with_id(id, "bf", 700)).expect("query could not be sent");
     wait_until("the primary receives the first write", || {
         !service.store.received(0).is_empty() && service.store.received(0).concat().contains("'bf'")
     });
     let before = service.received_count();
-    assert_eq!(second.query(&write("cf", 700)).expect("no answer"), "C08P01");
+    assert_eq!(second.query(&write_with_id(id, "cf", 700)).expect("no answer"), "C08P01");
     assert_eq!(service.received_count(), before);
     assert_eq!(first.read_answer().expect("no answer"), "C40003");
     service.store.set_behaviour(0, Behaviour::Primary);
+    let before = service.received_count();
+    assert_eq!(second.query(&write_with_id(id, "cf", 2000)).expect("no answer"), "C40003");
+    assert_eq!(service.received_count(), before);
     assert_eq!(second.query(&write("cf", 2000)).expect("no answer"), "row:value INSERT 0 1");
 }
--- a/crates/ottersill/tests/service/fixture.rs
+++ b/crates/ottersill/tests/service/fixture.rs
@@ -3,6 +3,7 @@
 use std::io::Read;
 use std::net::SocketAddr;
 use std::process::Command;
+use std::sync::atomic::{AtomicU32, Ordering};
 use std::thread;
 use std::time::{Duration, Instant};
 
@@ -24,6 +25,8 @@
     pub router: Router,
     /// Number of requests sent to the router while the fixture started.
     pub requests_sent: usize,
+    /// The one write among them.
+    pub first_write: String,
 }
 
 /// Waits until the condition holds, and panics after `TIMEOUT`.
@@ -65,11 +68,11 @@
         ],
     );
     let router = Router::spawn(&text, None).wait_until_ready();
-    let mut service = Service { store, router, requests_sent: 0 };
+    let mut service = Service { store, router, requests_sent: 0, first_write: write("1f", 2000) };
     let mut client = service.client();
     let (started, mut served) = (Instant::now(), 0);
     while served < 31 {
-        let query = if served < 30 { read(2000) } else { write("1f", 2000) };
+        let query = if served < 30 { read(2000) } else { service.first_write.clone() };
         let answer = client.query(&query).expect("no answer");
         service.requests_sent += 1;
         match answer.as_str() {
@@ -131,11 +134,17 @@
     read(left_ms).replace("id=5c", &format!("id=e{number:x}"))
 }
 
-/// A write statement with this key and this time left.
+/// A write statement with this key and this time left, under a new id.
 pub fn write(key: &str, left_ms: u32) -> String {
+    static NEXT: AtomicU32 = AtomicU32::new(0);
+    write_with_id(NEXT.fetch_add(1, Ordering::Relaxed), key, left_ms)
+}
+
+/// A write statement under the id with this number.
+pub fn write_with_id(number: u32, key: &str, left_ms: u32) -> String {
     let hex = "76616c7565";
     format!(
         "INSERT INTO kv (name, content) VALUES ('{key}', '\\x{hex}') RETURNING content \
-         /* id=5d,c=put,d={left_ms},cluster=1 */"
+         /* id=d{number:x},c=put,d={left_ms},cluster=1 */"
     )
 }
--- a/crates/ottersill/tests/service/statements_and_failures.rs
+++ b/crates/ottersill/tests/service/statements_and_failures.rs
@@ -20,7 +20,7 @@
     for text in (0..3).flat_map(|endpoint| service.store.received(endpoint)) {
         let left = digits(&text);
         assert!((1..=2000).contains(&left.parse().expect("time left is not a number")), "{text}");
-        let expected = if text.starts_with("SELECT") { read(2000) } else { write("1f", 2000) };
+        let expected = if text.starts_with("SELECT") { read(2000) } else { service.first_write.clone() };
         assert_eq!(text.replace(&format!(",d={left}"), ",d=2000"), expected);
     }
 }
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -20,7 +20,7 @@
 //!    `convert`.
 //!
 //! Three modules stand apart, for the caller: [`fair_queue`], the order in which it serves its sources of work and how much of each
-//! at a time; [`statement_ids`], which of two statements with one id is the first; [`unanswered_writes`], the ids that must not run
+//! at a time; [`statement_ids`], which of two statements with one id is the first; [`executed_writes`], the ids that must not run
 //! again.
 //!
 //! No two modules import each other: imports lead from `facade` and `router` down to `ids`, `clock`, `sampling`, `convert`
@@ -44,6 +44,7 @@
 mod dispatch;
 mod eligibility;
 mod endpoint;
+pub mod executed_writes;
 pub mod facade;
 pub mod fair_queue;
 mod feedback;
@@ -66,6 +67,5 @@
 mod stats;
 mod throughput;
 mod time_conversion;
-pub mod unanswered_writes;
 
 pub use router::Router;
--- a/crates/routing/src/statement_ids.rs
+++ b/crates/routing/src/statement_ids.rs
@@ -9,7 +9,7 @@
 use std::fmt;
 use std::rc::Rc;
 
-use crate::unanswered_writes::UnansweredWrites;
+use crate::executed_writes::ExecutedWrites;
 
 /// Memory that one held id takes, in bytes, for those who limit how many statements they read ahead.
 pub const BYTES_PER_HELD_ID: usize = 24;
@@ -32,7 +32,7 @@
 #[derive(Debug, Default)]
 struct State {
     held: BTreeSet<u64>,
-    unanswered_writes: UnansweredWrites,
+    executed_writes: ExecutedWrites,
 }
 
 impl StatementIds {
@@ -42,7 +42,7 @@
     /// If another statement holds the id, or a write with it may have run.
     pub fn hold(&self, now: f64, id: u64) -> Result<HeldId, IdConflict> {
         let mut state = self.state.borrow_mut();
-        if state.unanswered_writes.contains(now, id) {
+        if state.executed_writes.contains(now, id) {
             return Err(IdConflict::MayHaveRun);
         }
         if !state.held.insert(id) {
@@ -51,9 +51,15 @@
         Ok(HeldId { id, state: Rc::clone(&self.state) })
     }
 
-    /// Records a write that may have run and whose client left before the answer. `now` is in seconds.
-    pub fn record_unanswered_write(&self, now: f64, id: u64) {
-        self.state.borrow_mut().unanswered_writes.record(now, id);
+    /// Records a write that has run or may have run: no other statement may have its id. `now` is in seconds.
+    pub fn record_executed_write(&self, now: f64, id: u64) {
+        self.state.borrow_mut().executed_writes.record(now, id);
+    }
+
+    /// Returns the number of writes whose ids are kept as they may have run.
+    #[must_use]
+    pub fn executed_writes(&self) -> usize {
+        self.state.borrow().executed_writes.len()
     }
 
     /// Returns the number of ids that are held.
--- a/crates/routing/tests/statement_ids.rs
+++ b/crates/routing/tests/statement_ids.rs
@@ -22,7 +22,7 @@
 fn the_id_of_a_write_that_may_have_run_can_not_be_held_again() {
     let ids = StatementIds::default();
     let first = ids.hold(0.0, 7).expect("the id is free");
-    ids.record_unanswered_write(0.0, 7);
+    ids.record_executed_write(0.0, 7);
     assert_eq!(ids.hold(0.0, 7).err(), Some(IdConflict::MayHaveRun));
     drop(first);
     assert_eq!(ids.hold(0.0, 7).err(), Some(IdConflict::MayHaveRun));
