Read a pipeline ahead at once, also where its first statement came with much behind it

What callers saw: a copy of a write ran, and the write itself was refused at its turn: the write lay unread at its client's socket, behind more than 16 KiB, although there was memory to read it ahead.

Cause: a visit reads at most MAX_BYTES_PER_VISIT of a client, and continued only if a statement of the client was in flight as the visit began (client/session.rs, read, is_busy). If the visit itself put the first one in flight, the rest stayed unread until the answer, the next bytes or the connection's timer after 2 s, as the socket's readiness is reported once. Its deadlines and the client's close behind it were found as late.

Change: begin_request wakes the client if it may have more unread. Bounded as before by the memory for reading ahead: beyond 16 long messages, or with half of the memory for statements in use, the rest stays unread, its ids unknown.

--- a/crates/ottersill/src/client/session.rs
+++ b/crates/ottersill/src/client/session.rs
@@ -245,5 +245,9 @@
     pub fn begin_request(&mut self, id: usize, request_id: usize, context: &mut Context) {
         self.set_phase(id, ConnectionPhase::Busy(request_id), context);
         self.table[id].has_queried = true;
+        // The rest of the input is read ahead, as no event reports it again.
+        if self.table[id].may_have_unread {
+            context.wake(Source::Client(id));
+        }
     }
 }
--- a/crates/ottersill/tests/copied_ids.rs
+++ b/crates/ottersill/tests/copied_ids.rs
@@ -271,3 +271,29 @@
     endpoint.next_statement().answer("again");
     assert_served(&mut second, "again");
 }
+
+/// Guards against a write that runs twice: it was left at the socket, behind more than is read of a client at a time, although there
+/// was memory for it.
+#[test]
+fn a_copy_of_a_write_far_back_in_a_pipeline_is_refused() {
+    const READS: u32 = 400;
+    let fixture = Fixture::start(&SETTINGS);
+    let (mut owner, mut copier) = (fixture.router.client(), fixture.router.client());
+    let address = owner.socket.local_addr().expect("no address");
+    let mut texts: Vec<String> = (0..READS).map(|number| read(100 + number, 8000)).collect();
+    texts.push(write(7, 8000));
+    // All of it arrives at once, so the socket becomes ready once.
+    fixture.router.signal("-STOP");
+    send_pipelined(&mut owner, &texts);
+    wait_until_unread_at_router(fixture.router.address, address);
+    fixture.router.signal("-CONT");
+    let running = fixture.replica.next_statement();
+    // Long enough to read the rest, and shorter than the timer of the connection, with which it was read before.
+    std::thread::sleep(WATCHED);
+    assert_refused_as_copy(&copier.query(&write(7, 8000)).expect("no answer"));
+    running.answer("read");
+    (1..READS).for_each(|_| fixture.replica.next_statement().answer("read"));
+    fixture.primary.next_statement().answer("own");
+    (0..READS).for_each(|_| assert_served(&mut owner, "read"));
+    assert_served(&mut owner, "own");
+}
