Handle clients in the order in which they became ready, not by connection number

What callers saw: of two statements with one id that the router found in one iteration, a bad client's copy was served and the write that it copied got 08P01, if the copy's connection had the lower number.

Cause: Readiness::take (reactor.rs) sorted the ready sources to remove duplicates, so clients were handled by the numbers of their connections. The system reports sockets in the order in which they became ready.

Change: duplicates are removed without sorting clients; kinds of sources keep their order, the listener for clients after the clients. What remains: a connection that became ready earlier with other bytes, or has input left from the iteration before, is read whole at its place; which of two statements came first is not known then, and the router takes the one that it reads first. Either way one of them runs, once.

A second test, a_write_left_unread_as_memory_is_short_does_not_run_after_its_copy, shows the bound of reading ahead: the copy is served, the write is not sent at its turn.

--- a/crates/ottersill/src/reactor.rs
+++ b/crates/ottersill/src/reactor.rs
@@ -1,6 +1,7 @@
 //! The event loop's interface for the other components: registration of sockets, the ready sources, and the context in
 //! which a component handles an event.
 
+use std::collections::BTreeSet;
 use std::io;
 use std::mem;
 use std::rc::Rc;
@@ -17,8 +18,7 @@
 use crate::timers::Timers;
 use crate::work_meter::WorkMeter;
 
-/// The owner of a socket that became ready. Urgent sources are handled in the order of the
-/// variants.
+/// The owner of a socket that became ready. Sources are handled in the order of the variants.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Source {
     /// One of the connections to the discovery service.
@@ -47,6 +47,14 @@
         }
     }
 
+    /// Returns what sources are ordered by: all clients have the same rank.
+    fn rank(self) -> Source {
+        match self {
+            Source::Client(_) => Source::Client(0),
+            source => source,
+        }
+    }
+
     /// Returns the kind under which the time of this source is counted.
     pub fn kind(self) -> SourceKind {
         match self {
@@ -90,11 +98,13 @@
         self.sources.is_empty()
     }
 
-    /// Takes out the sources to handle, each once and in order.
+    /// Takes out the sources to handle, each once: in the order of the variants, and clients in the order in which they became
+    /// ready. Of two clients that send statements with the same id, the one that sent first is read first.
     pub fn take(&mut self) -> Vec<Source> {
         let mut sources = mem::take(&mut self.sources);
-        sources.sort_unstable();
-        sources.dedup();
+        let mut taken = BTreeSet::new();
+        sources.retain(|source| taken.insert(*source));
+        sources.sort_by_key(|source| source.rank());
         sources
     }
 }
--- a/crates/ottersill/tests/copied_ids.rs
+++ b/crates/ottersill/tests/copied_ids.rs
@@ -297,3 +297,59 @@
     (0..READS).for_each(|_| assert_served(&mut owner, "read"));
     assert_served(&mut owner, "own");
 }
+
+/// Guards against a copy that is taken for the first statement as its connection has the lower number: both are found in one
+/// iteration, and the one that arrived first keeps the id.
+#[test]
+fn of_two_statements_found_in_one_iteration_the_earlier_one_keeps_the_id() {
+    let mut router = InProcessRouter::start();
+    let (mut copier, mut owner) = (router.client(), router.client());
+    copier.read_answer().expect("no greeting");
+    owner.read_answer().expect("no greeting");
+    owner.send(&write(7, 8000)).expect("query could not be sent");
+    copier.send(&write(7, 8000)).expect("query could not be sent");
+    router.next_statement(|router| &router.primary).answer("own");
+    router.poll_for(Duration::from_millis(100));
+    assert_served(&mut owner, "own");
+    assert_refused_as_copy(&copier.read_answer().expect("no answer"));
+}
+
+/// Guards against a write that runs twice: memory for reading ahead is used up, so the router does not know the write as its copy
+/// comes. The copy is served, and the write is not sent at its turn.
+#[test]
+fn a_write_left_unread_as_memory_is_short_does_not_run_after_its_copy() {
+    const LONG_NAME_BYTES: usize = 100_000;
+    let small_memory = ("\"memory_mb\": 192", "\"memory_mb\": 32");
+    let fixture = Fixture::start(&[LONG_STATEMENT_TIMEOUT, LONG_SLO_TIME, small_memory]);
+    let long_read =
+        |number| read(number, 8000).replace("'1f'", &format!("'{}'", "1".repeat(LONG_NAME_BYTES)));
+    let mut fillers = Vec::new();
+    for first in [1000, 2000, 3000] {
+        let mut client = fixture.router.client();
+        client.send(&read(first, 8000)).expect("query could not be sent");
+        fillers.push((fixture.replica.next_statement(), client));
+    }
+    for ((_, client), first) in fillers.iter_mut().zip([1001, 2001, 3001]) {
+        let texts: Vec<String> = (first..first + 18).map(long_read).collect();
+        send_pipelined(client, &texts);
+    }
+    let mut owner = fixture.router.client();
+    let address = owner.socket.local_addr().expect("no address");
+    owner.send(&read(2, 8000)).expect("query could not be sent");
+    let running = fixture.replica.next_statement();
+    let mut behind: Vec<String> = (100..112).map(long_read).collect();
+    behind.push(write(7, 8000));
+    send_pipelined(&mut owner, &behind);
+    std::thread::sleep(WATCHED);
+    assert!(!may_have_read_all(fixture.router.address, address), "there was memory to read all");
+    let mut copier = fixture.router.client();
+    copier.send(&write(7, 8000)).expect("query could not be sent");
+    fixture.primary.next_statement().answer("copier's");
+    assert_served(&mut copier, "copier's");
+    running.answer("read");
+    (0..12).for_each(|_| fixture.replica.next_statement().answer("read"));
+    (0..13).for_each(|_| assert_served(&mut owner, "read"));
+    let answer = owner.read_answer().expect("no answer");
+    assert!(answer.contains("C40003"), "{answer}");
+    assert!(fixture.primary.next_within(WATCHED).is_none(), "the write was sent again");
+}
