Read the open connections before the listen backlog as a router begins to drain

What callers saw: as a router began to drain, a copy on a connection in the listen backlog was served, and the write that it copied, which lay unread on an open connection, got 08P01.

Cause: drain (event_loop/clients.rs) accepted and read the backlog first; an iteration handles clients before the listener.

Change: drain reads the open connections, then accepts, then reads all once more as before.

--- a/crates/ottersill/src/event_loop/clients.rs
+++ b/crates/ottersill/src/event_loop/clients.rs
@@ -90,14 +90,20 @@
     /// Accepts the clients in the listen backlog, closes the listener, and from now on closes client connections once they are
     /// idle.
     pub fn drain(&mut self) {
+        // In the usual order, clients before the listener: of two statements with the same id the first keeps it.
+        self.read_all_clients();
         // A client whose connection the system has already established may have sent a statement, which counts as accepted.
         self.accept_clients(usize::MAX, u64::MAX);
         self.clients.start_draining();
         self.clients.close_listener_if_drained(&self.context);
+        // Once more, as statements that have arrived by now count as accepted.
+        self.read_all_clients();
+        self.run_routing_actions();
+    }
+
+    fn read_all_clients(&mut self) {
         let all: Vec<usize> = self.clients.iter().map(|(id, _)| id).collect();
-        // Reads each connection once more, as statements that have arrived by now count as accepted.
         all.into_iter().for_each(|id| self.read_client(id, SIDE_SHARE));
-        self.run_routing_actions();
     }
 
     /// Handles readiness of a client connection.
--- a/crates/ottersill/tests/copied_ids.rs
+++ b/crates/ottersill/tests/copied_ids.rs
@@ -314,6 +314,24 @@
     assert_refused_as_copy(&copier.read_answer().expect("no answer"));
 }
 
+/// Guards against a copy that is taken for the first statement as it lies in the listen backlog of a router that drains: what open
+/// connections have sent is read first.
+#[test]
+fn a_copy_in_the_listen_backlog_of_a_draining_router_is_refused() {
+    let mut router = InProcessRouter::start();
+    let mut owner = router.client();
+    owner.read_answer().expect("no greeting");
+    owner.send(&write(7, 8000)).expect("query could not be sent");
+    let mut copier = router.connect();
+    copier.send(&write(7, 8000)).expect("query could not be sent");
+    router.event_loop.drain();
+    router.next_statement(|router| &router.primary).answer("own");
+    router.poll_for(Duration::from_millis(100));
+    assert_served(&mut owner, "own");
+    copier.read_answer().expect("no greeting");
+    assert_refused_as_copy(&copier.read_answer().expect("no answer"));
+}
+
 /// Guards against a write that runs twice: memory for reading ahead is used up, so the router does not know the write as its copy
 /// comes. The copy is served, and the write is not sent at its turn.
 #[test]
