Give each write of the memory tests an id of its own again

Three tests replaced "id=5d" in the fixture's write to give it an id of its own. Found by reading; both had passed. They ask for the id now (write_with_id), and within a client of the former the three statements differ too. The ids of write and write_with_id begin with different digits.

--- a/crates/ottersill/tests/failures_during_shutdown.rs
+++ b/crates/ottersill/tests/failures_during_shutdown.rs
@@ -13,7 +13,7 @@
 use std::thread::{self, JoinHandle};
 use std::time::{Duration, Instant};
 
-use fixture::{Service, TIMEOUT, read_with_id, start_service, write};
+use fixture::{Service, TIMEOUT, read_with_id, start_service, write_with_id};
 use ottersill_testkit::stand_in::{Behaviour, Client};
 use rstest::rstest;
 use support::machine::time_without_stalls;
@@ -131,7 +131,7 @@
             let id = number * 0x10_0000 + round;
             let text = match round % 2 {
                 0 => read_with_id(id, DEADLINE_MS),
-                _ => write("1f", DEADLINE_MS).replace("id=5d", &format!("id=e{id:x}")),
+                _ => write_with_id(id, "1f", DEADLINE_MS),
             };
             let Some((sent_at, answers)) = send_until_read(&mut client, address, &text) else { break };
             requests.push(RequestOutcome { text, sent_at, answered_at: Instant::now(), answers });
--- a/crates/ottersill/tests/service/connection_limits.rs
+++ b/crates/ottersill/tests/service/connection_limits.rs
@@ -10,6 +10,7 @@
 
 use crate::fixture::{
     Service, TIMEOUT, read, read_with_id, start_service, start_service_with_memory, wait_until, write,
+    write_with_id,
 };
 use crate::support::machine::time_without_stalls_since;
 
@@ -40,12 +41,12 @@
 fn memory_is_bounded_under_long_statements() {
     let service = start_service_with_memory(1024, 32);
     service.set_all_behaviours(Behaviour::NeverAnswers);
-    let long = write("9f", 9000).replace("76616c7565", &"61".repeat(65536));
-    let send_writes = |number| {
+    let value = "61".repeat(65536);
+    let send_writes = |number: u32| {
         let mut client = service.client();
-        let long = long.replace("id=5d", &format!("id=e{number:x}"));
+        let long = |index| write_with_id(3 * number + index, "9f", 9000).replace("76616c7565", &value);
         // A client that was rejected meanwhile can send no more.
-        let _ = (0..3).try_for_each(|_| client.send(&long));
+        let _ = (0..3).try_for_each(|index| client.send(&long(index)));
         client
     };
     let clients: Vec<Client> = (0..400).map(send_writes).collect();
@@ -75,14 +76,14 @@
 #[test]
 fn memory_is_bounded_when_many_clients_pipeline_long_statements() {
     const MEMORY_MB: u64 = 48;
-    const CLIENTS: usize = 160;
-    const STATEMENTS: usize = 100;
+    const CLIENTS: u32 = 160;
+    const STATEMENTS: u32 = 100;
     const VALUE_BYTES: usize = 30_000;
     let service = start_service_with_memory(512, MEMORY_MB);
     service.set_all_behaviours(Behaviour::NeverAnswers);
-    let long = write("9f", 2000).replace("76616c7565", &"61".repeat(VALUE_BYTES));
+    let value = "61".repeat(VALUE_BYTES);
     let ends_at = Instant::now() + Duration::from_secs(4);
-    let pipeline_statements = |number: usize| {
+    let pipeline_statements = |number: u32| {
         let Ok(mut client) = Client::connect(service.router.address) else { return };
         // Ends the client if the router leaves its statements unread.
         client
@@ -90,7 +91,8 @@
             .set_write_timeout(Some(Duration::from_secs(1)))
             .expect("write timeout could not be set");
         for statement in 0..STATEMENTS {
-            let text = long.replace("id=5d", &format!("id=e{:x}", number * STATEMENTS + statement));
+            let text =
+                write_with_id(number * STATEMENTS + statement, "9f", 2000).replace("76616c7565", &value);
             if Instant::now() > ends_at || client.send(&text).is_err() {
                 return;
             }
--- a/crates/ottersill/tests/service/fixture.rs
+++ b/crates/ottersill/tests/service/fixture.rs
@@ -137,14 +137,18 @@
 /// A write statement with this key and this time left, under a new id.
 pub fn write(key: &str, left_ms: u32) -> String {
     static NEXT: AtomicU32 = AtomicU32::new(0);
-    write_with_id(NEXT.fetch_add(1, Ordering::Relaxed), key, left_ms)
+    write_text(&format!("c{:x}", NEXT.fetch_add(1, Ordering::Relaxed)), key, left_ms)
 }
 
 /// A write statement under the id with this number.
 pub fn write_with_id(number: u32, key: &str, left_ms: u32) -> String {
+    write_text(&format!("d{number:x}"), key, left_ms)
+}
+
+fn write_text(id: &str, key: &str, left_ms: u32) -> String {
     let hex = "76616c7565";
     format!(
         "INSERT INTO kv (name, content) VALUES ('{key}', '\\x{hex}') RETURNING content \
-         /* id=d{number:x},c=put,d={left_ms},cluster=1 */"
+         /* id={id},c=put,d={left_ms},cluster=1 */"
     )
 }
