--- a/crates/ottersill/tests/flood_soak.rs
+++ b/crates/ottersill/tests/flood_soak.rs
@@ -13,11 +13,10 @@
 
 use ottersill_testkit::audit::duplicate_writes;
 use ottersill_testkit::flood::{Flood, FloodInput};
-use ottersill_testkit::stand_in::StandInStore;
 use rand::rngs::SmallRng;
 use rand::seq::IndexedRandom;
 use rand::{Rng, SeedableRng};
-use support::load::{Tally, row_count, send_requests};
+use support::load::{Tally, row_count, send_requests, start_store};
 use support::{Router, config_text};
 
 const SEEDS: u64 = 6;
@@ -67,15 +66,6 @@
     }
 }
 
-fn start_store() -> std::io::Result<(StandInStore, std::net::SocketAddr)> {
-    let store = StandInStore::default();
-    for _ in 0..3 {
-        store.add_endpoint("127.0.0.1:0")?;
-    }
-    let discovery = store.add_discovery("127.0.0.1:0")?;
-    Ok((store, discovery))
-}
-
 /// Returns the peak of the process's resident memory, in bytes.
 fn peak_memory(process: u32) -> u64 {
     let status = std::fs::read_to_string(format!("/proc/{process}/status")).unwrap_or_default();
--- a/crates/ottersill/tests/support/load.rs
+++ b/crates/ottersill/tests/support/load.rs
@@ -8,7 +8,7 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
-use ottersill_testkit::stand_in::Client;
+use ottersill_testkit::stand_in::{Client, StandInStore};
 
 use super::machine::time_without_stalls_since;
 
@@ -16,6 +16,16 @@
 const DEADLINE_MS: u64 = 1500;
 const ANSWER_SLACK: Duration = Duration::from_millis(500);
 
+/// Starts a stand-in store with three endpoints and its discovery service.
+pub fn start_store() -> std::io::Result<(StandInStore, SocketAddr)> {
+    let store = StandInStore::default();
+    for _ in 0..3 {
+        store.add_endpoint("127.0.0.1:0")?;
+    }
+    let discovery = store.add_discovery("127.0.0.1:0")?;
+    Ok((store, discovery))
+}
+
 /// The outcomes of requests.
 #[derive(Debug, Default)]
 pub struct Tally {
