Reject a long statement for which there is no memory alone, and answer those behind it

Cause: such a statement was refused with an error that ends the connection (client/session.rs, next_event), although whole statements may be behind it.

Change: the statement gets 53300 with field D and ReadyForQuery at once; what has arrived of it is discarded, and so is the rest as it arrives, within the same bounds of memory and work (RejectedRest, client/connection.rs). Startup messages, and messages that are no statements, end the connection as before. Counter rejected_without_memory.

--- a/crates/ottersill/src/client/answers.rs
+++ b/crates/ottersill/src/client/answers.rs
@@ -52,6 +52,13 @@
         self.send(id, [error, frame::READY_FOR_QUERY.clone()], context);
     }
 
+    /// Rejects a statement for which there is no memory. The statement was never sent, so a retry is safe.
+    pub fn reject_without_memory(&mut self, id: usize, retry_after: f64, context: &mut Context) {
+        context.counters.rejected_without_memory += 1;
+        let error = rejection(retry_after, "rejected: no memory is left for this statement");
+        self.send(id, [error, frame::READY_FOR_QUERY.clone()], context);
+    }
+
     /// Rejects a statement of a client for which there is no room. The connection is closed only with the last statement that
     /// the client has sent, because each statement that was read must be answered.
     pub fn reject_without_descriptor(&mut self, id: usize, context: &mut Context) {
--- a/crates/ottersill/src/client/connection.rs
+++ b/crates/ottersill/src/client/connection.rs
@@ -60,6 +60,15 @@
     pub accepted_at: f64,
 }
 
+/// What is still to come of a message that was rejected before it was complete.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct RejectedRest {
+    /// Number of bytes.
+    pub bytes: usize,
+    /// When the first byte of the message arrived, in Unix seconds.
+    pub arrived_at: f64,
+}
+
 /// A client connection. Times are Unix seconds.
 pub struct ClientConnection {
     /// Changed only by `Clients::set_phase`.
@@ -84,6 +93,8 @@
     pub arrivals: Arrivals,
     /// The complete statements in `inbox`.
     pub pipeline: Pipeline,
+    /// The rest of a message that was rejected before it was complete; it is passed over as it arrives.
+    pub rejected_rest: Option<RejectedRest>,
     /// Output that is not written yet; holds at most one answer, because the next query waits until the answer is written.
     pub outbox: Outbox,
     /// Whether the socket may hold more input without a further readiness event to report it.
@@ -121,6 +132,7 @@
             inbox: ReadBuffer::default(),
             arrivals: Arrivals::default(),
             pipeline: Pipeline::default(),
+            rejected_rest: None,
             outbox: Outbox::default(),
             may_have_unread: false,
             unread_since: None,
@@ -151,6 +163,26 @@
         self.arrivals.sync(self.inbox.len(), arrived_at);
     }
 
+    /// Passes over what has arrived of the rest of a rejected message. Returns the number of bytes.
+    pub fn discard_rejected_rest(&mut self) -> usize {
+        let Some(rest) = &mut self.rejected_rest else { return 0 };
+        let discarded = rest.bytes.min(self.inbox.len());
+        rest.bytes -= discarded;
+        if rest.bytes == 0 {
+            self.rejected_rest = None;
+        }
+        self.inbox.discard(discarded);
+        self.pipeline.take(discarded);
+        discarded
+    }
+
+    /// Returns when the first byte arrived of a message that is not complete, in Unix seconds; `None` if there is no such
+    /// message. `now` is for a byte whose arrival is not recorded.
+    pub fn partial_message_since(&self, now: f64) -> Option<f64> {
+        let rejected = self.rejected_rest.map(|rest| rest.arrived_at);
+        rejected.or_else(|| (!self.inbox.is_empty()).then(|| self.arrivals.time_of(0, now)))
+    }
+
     /// Holds the ids of the statements in the inbox that have become complete. `now` is in Unix seconds.
     pub fn scan_pipeline(&mut self, ids: &StatementIds, now: f64) {
         if matches!(self.phase, ConnectionPhase::Idle | ConnectionPhase::Busy(_)) {
--- a/crates/ottersill/src/client/limits.rs
+++ b/crates/ottersill/src/client/limits.rs
@@ -23,6 +23,7 @@
         matches!(client.phase, ConnectionPhase::Idle | ConnectionPhase::AwaitingStartup)
             && client.has_queried == self.has_queried
             && client.inbox.is_empty()
+            && client.rejected_rest.is_none()
             && client.outbox.is_empty()
             && !client.may_have_unread
             && (self.has_queried || client.phase_since < self.new_since)
--- a/crates/ottersill/src/client/mod.rs
+++ b/crates/ottersill/src/client/mod.rs
@@ -38,6 +38,9 @@
         /// The id of the statement, if it could be read ahead of the statement's turn.
         read_ahead_id: Option<ReadAheadId>,
     },
+    /// A statement is rejected before it is complete, as there is no memory for it. Once it has been answered, the client's next
+    /// event can be fetched.
+    MemoryExhausted,
     /// The client disconnected while a request of it was in flight; its connection is closed.
     Disconnected {
         /// Number of the request.
--- a/crates/ottersill/src/client/session.rs
+++ b/crates/ottersill/src/client/session.rs
@@ -3,7 +3,7 @@
 use bytes::Bytes;
 use slog::info;
 
-use crate::client::connection::{ClientConnection, ConnectionPhase};
+use crate::client::connection::{ClientConnection, ConnectionPhase, RejectedRest};
 use crate::client::{ClientEvent, Clients};
 use crate::protocol::frame;
 use crate::protocol::frame::{Encryption, ErrorCode, ProtocolError, Startup};
@@ -113,6 +113,11 @@
         loop {
             let client = self.table.get_mut(id)?;
             client.sync_arrivals(context.clock.earliest_arrival_at());
+            let discarded = client.discard_rejected_rest();
+            if discarded > 0 {
+                context.work.count_message(discarded);
+                client.sync_arrivals(context.clock.earliest_arrival_at());
+            }
             client.scan_pipeline(&self.statement_ids, context.now());
             client.is_deferred = false;
             self.table.count_stored_bytes(id);
@@ -146,11 +151,10 @@
                     }
                 }
                 // A long statement for which there is no memory is rejected before it is complete.
-                Ok(None) if self.lacks_memory_for(id) => {
-                    context.counters.client_connections_rejected += 1;
-                    let reason = "no memory is left for this statement";
-                    self.reject_connection(id, ErrorCode::TooMany, reason, context);
-                }
+                Ok(None) if self.lacks_memory_for(id) => match self.pass_over_statement(id, context) {
+                    Some(event) => return Some(event),
+                    None => self.reject_connection_without_memory(id, context),
+                },
                 Ok(None) => {
                     self.await_more_input(id, context);
                     return None;
@@ -163,6 +167,26 @@
         }
     }
 
+    /// Passes over a statement for which there is no memory: what has arrived of it is discarded, and so is the rest as it
+    /// arrives. Returns none if the message is no statement.
+    fn pass_over_statement(&mut self, id: usize, context: &Context) -> Option<ClientEvent> {
+        let client = &mut self.table[id];
+        if client.phase != ConnectionPhase::Idle || client.inbox.first() != Some(&b'Q') {
+            return None;
+        }
+        let bytes = frame::declared_length(&client.inbox)?;
+        let arrived_at = client.arrivals.time_of(0, context.clock.earliest_arrival_at());
+        client.rejected_rest = Some(RejectedRest { bytes, arrived_at });
+        Some(ClientEvent::MemoryExhausted)
+    }
+
+    /// Ends the connection of a client for whose startup, or for whose message that is no statement, there is no memory.
+    fn reject_connection_without_memory(&mut self, id: usize, context: &mut Context) {
+        context.counters.client_connections_rejected += 1;
+        let reason = "no memory is left for this message";
+        self.reject_connection(id, ErrorCode::TooMany, reason, context);
+    }
+
     /// Whether memory is too short to read the rest of the client's unfinished message.
     fn lacks_memory_for(&self, id: usize) -> bool {
         self.table[id].inbox.len() >= self.max_input_bytes(id)
@@ -175,7 +199,7 @@
         if client.may_have_unread {
             return context.wake(Source::Client(id));
         }
-        if !client.inbox.is_empty() {
+        if client.partial_message_since(context.now()).is_some() {
             let deadline = self.deadline(client, context.now());
             self.set_timer(id, deadline, context);
         } else if self.is_draining {
--- a/crates/ottersill/src/client/time_limits.rs
+++ b/crates/ottersill/src/client/time_limits.rs
@@ -87,22 +87,22 @@
 
     /// Returns the deadline of the connection's current phase, in Unix seconds; infinite while a request is in flight.
     pub(super) fn deadline(&self, client: &ClientConnection, now: f64) -> f64 {
-        let has_partial_message = !client.inbox.is_empty();
+        let partial_message_since = client.partial_message_since(now);
+        let has_partial_message = partial_message_since.is_some();
+        let is_new = !client.has_queried && client.rejected_rest.is_none();
         match client.phase {
             ConnectionPhase::Busy(_) => f64::INFINITY,
             // A message that was begun behind a statement gets some time after the answer to be completed. A client that does
             // not read its answer is disconnected. A partial message is rejected by the answer deadline at the latest, before
             // a router that is shutting down may be killed.
-            ConnectionPhase::AwaitingStartup | ConnectionPhase::Idle
-                if !client.has_queried && has_partial_message =>
-            {
+            ConnectionPhase::AwaitingStartup | ConnectionPhase::Idle if is_new && has_partial_message => {
                 (client.connected_at + INCOMPLETE_INPUT_TIMEOUT_SECONDS).min(self.answer_deadline)
             }
-            ConnectionPhase::AwaitingStartup | ConnectionPhase::Idle if !client.has_queried => {
+            ConnectionPhase::AwaitingStartup | ConnectionPhase::Idle if is_new => {
                 client.connected_at + INCOMPLETE_INPUT_TIMEOUT_SECONDS
             }
             ConnectionPhase::Idle if has_partial_message => {
-                let deadline = client.arrivals.time_of(0, now) + INCOMPLETE_INPUT_TIMEOUT_SECONDS;
+                let deadline = partial_message_since.unwrap_or(now) + INCOMPLETE_INPUT_TIMEOUT_SECONDS;
                 deadline.max(client.phase_since + REMAINDER_TIMEOUT_SECONDS).min(self.answer_deadline)
             }
             ConnectionPhase::Idle if !client.outbox.is_empty() => {
--- a/crates/ottersill/src/counters.rs
+++ b/crates/ottersill/src/counters.rs
@@ -27,7 +27,7 @@
 
 counters! {
     client_connections: "Client connections accepted.",
-    client_connections_rejected: "Client connections rejected because no descriptor or memory was left.",
+    client_connections_rejected: "Client connections rejected because no descriptor, or no memory for their startup, was left.",
     client_connections_unwatched: "Client connections closed because they could not be registered at the event loop.",
     clients_deferred: "Times that messages of a client were left to a later iteration, as it had its share of one.",
     encryption_requests_repeated: "Client connections rejected because they repeated a request for encryption.",
@@ -40,6 +40,7 @@
     session_queries: "Queries refused because they depend on session state, or consist of several statements.",
     statements: "Statements accepted.",
     rejected_without_endpoint_list: "Statements rejected because no endpoint list had arrived yet.",
+    rejected_without_memory: "Statements rejected because no memory was left to read them.",
     reads_treated_as_writes: "Statements of a read workload treated as writes, because they may write.",
     completed: "Statements answered with an endpoint's result.",
     rejected: "Statements answered with a rejection.",
--- a/crates/ottersill/src/event_loop/clients.rs
+++ b/crates/ottersill/src/event_loop/clients.rs
@@ -142,6 +142,10 @@
                     self.on_statement(id, &text, arrived_at, read_ahead_id);
                     self.clients.next_event(id, &mut self.context)
                 }
+                ClientEvent::MemoryExhausted => {
+                    self.clients.reject_without_memory(id, self.retry_after_seconds, &mut self.context);
+                    self.clients.next_event(id, &mut self.context)
+                }
                 ClientEvent::Disconnected { request_id } => return self.abandon_request(request_id),
             };
         }
--- a/crates/ottersill/src/protocol/read_buffer.rs
+++ b/crates/ottersill/src/protocol/read_buffer.rs
@@ -7,7 +7,7 @@
 use std::io::{self, ErrorKind, Read};
 use std::ops::Deref;
 
-use bytes::BytesMut;
+use bytes::{Buf, BytesMut};
 use socket2::Socket;
 
 /// Bytes per read, one page: a statement and its answer are shorter.
@@ -131,6 +131,12 @@
         Ok(message)
     }
 
+    /// Discards that many bytes from the front of the buffer.
+    pub fn discard(&mut self, bytes: usize) {
+        self.bytes.advance(bytes);
+        self.release_if_empty();
+    }
+
     /// Records that all messages taken so far are dropped.
     pub fn release_messages(&mut self) {
         self.has_messages = false;
