Wait for slow answers of discovery: keep a call that another one follows

Discovery, meanwhile, got eight calls a second.

Cause: one limit served two needs. A call that is not answered soon has to be followed by another, since a discovery that was silent may answer only calls that arrive after its return. For that the unanswered call was closed at most 1.25 s after it was due, and the next ones were treated the same, so that an answer which takes longer was never read: not of a long poll, not of the complete list, not at a start or after a reload. On each answer the other calls were closed, also one whose list was newer.

Change: what was decided in discovery/watch.rs and client.rs is now the module discovery_watch of routing, without sockets, named under `policy`. A call is followed by another after the expected response time (RFC 6298's estimate, response_time.rs) and kept for 2.25 s beside that. While answers come, calls that none has overtaken are kept. Answers on several connections are ordered by version, and by whether their call was sent before the list in use was read. At most 20 calls are open; all but two share the descriptors of connections and give them back first.

New counters: discovery_calls, discovery_answers_slow, discovery_answers_superseded; gauges discovery_calls_open, discovery_response_expected_ms, endpoint_list_age_ms; line `discovery slow`.

--- a/crates/ottersill/src/counters.rs
+++ b/crates/ottersill/src/counters.rs
@@ -72,7 +72,10 @@
     reloads: "Configurations applied on SIGHUP.",
     reloads_failed: "Configurations that could not be loaded on SIGHUP.",
     endpoint_lists: "Endpoint lists received, complete or partial.",
-    discovery_calls_failed: "Discovery calls that failed or were not answered.",
+    discovery_calls: "Discovery calls begun, each with a connection.",
+    discovery_calls_failed: "Discovery calls that failed or were not answered in the expected time.",
+    discovery_answers_slow: "Answers of discovery that took half a second or more.",
+    discovery_answers_superseded: "Answers of discovery that were passed over, as a newer list was known.",
     log_lines_dropped: "Log lines dropped because standard output did not accept them fast enough.",
     invariant_violations: "Invariant violations.",
 }
--- a/crates/ottersill/src/discovery/call.rs
+++ b/crates/ottersill/src/discovery/call.rs
@@ -1,4 +1,4 @@
-//! One call to discovery: a connection, and the request in flight on it.
+//! The connection of one call to discovery, and the answer that arrives on it.
 
 use std::fmt;
 use std::io;
@@ -6,11 +6,12 @@
 use std::rc::Rc;
 
 use calloop::RegistrationToken;
+use ottersill_routing::discovery_watch::{CallId, LONG_POLL_SECONDS, Request};
 use socket2::Socket;
 
+use crate::clock::milliseconds;
 use crate::discovery::endpoint_list::EndpointList;
 use crate::discovery::http::{self, HttpError, Response};
-use crate::discovery::watch::{self, CallState, Request};
 use crate::protocol::read_buffer::{ReadBuffer, ReadOutcome};
 use crate::protocol::socket::{self, Outbox};
 use crate::reactor::{Context, Source};
@@ -84,17 +85,15 @@
     }
 }
 
-/// One connection to discovery. Times are Unix seconds.
+/// One connection to discovery.
 pub struct Call {
-    state: CallState,
+    /// Identifies the call in the watch.
+    pub id: CallId,
     socket: Rc<Socket>,
     token: RegistrationToken,
     inbox: ReadBuffer,
     outbox: Outbox,
-    requested_at: f64,
-    /// When this call may be closed to make room for newer ones; infinite if it is the newest call or was answered.
-    keep_until: f64,
-    was_answered: bool,
+    is_established: bool,
 }
 
 impl Call {
@@ -102,52 +101,31 @@
     ///
     /// # Errors
     /// If this machine cannot open or register one more connection, or has no route to the address.
-    pub fn connect(address: SocketAddr, context: &Context) -> io::Result<Call> {
+    pub fn connect(id: CallId, address: SocketAddr, context: &Context) -> io::Result<Call> {
         let (socket, token) =
             context.register(socket::connect(address).map_err(io::Error::from)?, Source::Discovery)?;
-        Ok(Call {
-            state: CallState::Connecting,
-            socket,
-            token,
-            inbox: ReadBuffer::default(),
-            outbox: Outbox::default(),
-            requested_at: context.now(),
-            keep_until: f64::INFINITY,
-            was_answered: false,
-        })
+        let (inbox, outbox) = (ReadBuffer::default(), Outbox::default());
+        Ok(Call { id, socket, token, inbox, outbox, is_established: false })
     }
 
-    /// Returns the state of the call.
-    pub fn state(&self) -> CallState {
-        self.state
-    }
-
-    /// Whether the connection is established.
+    /// Returns true once, when the connection is established.
     ///
     /// # Errors
     /// If connecting has failed.
-    pub fn is_connected(&self) -> io::Result<bool> {
-        socket::is_connected(&self.socket)
-    }
-
-    /// Whether this call may be closed to make room for newer ones, as its lifetime has ended.
-    pub fn has_expired(&self, now: f64) -> bool {
-        now >= self.keep_until
-    }
-
-    /// Limits the lifetime of a call that newer ones follow: it ends at `keep_until` at the latest, in Unix seconds.
-    pub fn limit_lifetime(&mut self, keep_until: f64) {
-        self.keep_until = self.keep_until.min(keep_until);
+    pub fn was_just_established(&mut self) -> io::Result<bool> {
+        if self.is_established || !socket::is_connected(&self.socket)? {
+            return Ok(false);
+        }
+        self.is_established = true;
+        Ok(true)
     }
 
     /// Sends a request; bytes that the socket does not accept yet are written when it becomes ready again.
     ///
     /// # Errors
     /// If the connection broke.
-    pub fn send(&mut self, request: &Request, host: SocketAddr, context: &mut Context) -> io::Result<()> {
-        self.transition(request.state, context);
-        self.requested_at = context.now();
-        self.outbox.push(http::get(&request.path, &host.to_string()));
+    pub fn send(&mut self, request: Request, host: SocketAddr) -> io::Result<()> {
+        self.outbox.push(http::get(&request_path(request), &host.to_string()));
         self.outbox.flush(&self.socket).map(|_| ())
     }
 
@@ -156,6 +134,9 @@
     /// # Errors
     /// If the connection broke or was closed, or the answer is invalid; the call must then be closed.
     pub fn read(&mut self, context: &mut Context) -> Result<Option<Answer>, CallError> {
+        if !self.is_established {
+            return Ok(None);
+        }
         self.outbox.flush(&self.socket)?;
         // A reset is an error, not an end of the response: input that arrived before it is discarded with the connection.
         let outcome = self.inbox.read(&self.socket, http::MAX_RESPONSE_BYTES)?;
@@ -167,36 +148,26 @@
             return answer;
         }
         match outcome {
-            ReadOutcome::Ended => Err(CallError::ConnectionClosed),
-            ReadOutcome::MoreToRead => {
-                context.wake(Source::Discovery);
-                Ok(None)
-            }
-            ReadOutcome::Drained => Ok(None),
+            ReadOutcome::Ended => return Err(CallError::ConnectionClosed),
+            ReadOutcome::MoreToRead => context.wake(Source::Discovery),
+            ReadOutcome::Drained => {}
         }
+        Ok(None)
     }
 
-    /// Records that the call was answered, and lifts the limit on its lifetime. Returns true if it was a long poll that was
-    /// answered before its scheduled end.
-    pub fn record_answer(&mut self, now: f64) -> bool {
-        self.was_answered = true;
-        self.keep_until = f64::INFINITY;
-        self.state == CallState::Watching && watch::is_early(now - self.requested_at)
-    }
-
-    /// Changes the state of the call; all state changes go through here.
-    pub fn transition(&mut self, next: CallState, context: &mut Context) {
-        context.counters.check_invariant(
-            self.state.may_become(next),
-            "a call changes its state only as CallState::may_become allows",
-        );
-        self.state = next;
+    /// Closes the connection.
+    pub fn close(self, context: &Context) {
+        context.deregister(self.token);
     }
+}
 
-    /// Closes the connection. Returns true if a request on it was answered: the end of the connection is then not treated as a
-    /// failure of discovery.
-    pub fn close(self, context: &Context) -> bool {
-        context.deregister(self.token);
-        self.was_answered
+/// Returns the path of a request, with its query string.
+fn request_path(request: Request) -> String {
+    match request {
+        Request::CompleteList => "/v1/servers".to_string(),
+        Request::ChangesSince(version) => {
+            let timeout_ms = milliseconds(LONG_POLL_SECONDS);
+            format!("/v1/servers?since={version}&timeout_ms={timeout_ms}")
+        }
     }
 }
--- a/crates/ottersill/src/discovery/client.rs
+++ b/crates/ottersill/src/discovery/client.rs
@@ -1,49 +1,44 @@
-//! The discovery client: watches discovery for changes of the endpoint list, over one or two connections. It reports
-//! [`DiscoveryEvent`]s, which the event loop acts on.
+//! The discovery client: carries out the steps of the [`DiscoveryWatch`] on sockets, and reports [`DiscoveryEvent`]s, which the
+//! event loop acts on.
 
 use std::collections::VecDeque;
 use std::net::SocketAddr;
 
+use ottersill_routing::discovery_watch::{
+    AnswerHead, CallId, DiscoveryWatch, MIN_OPEN_CALLS, Request, Step, Verdict,
+};
 use slog::warn;
 
+use crate::clock::milliseconds;
 use crate::discovery::call::{Answer, Call, CallError};
 use crate::discovery::endpoint_list::EndpointList;
-use crate::discovery::watch::{
-    self, CallState, RETRY_DELAY_SECONDS, Request, SUPERSEDED_CALL_LIFETIME_SECONDS,
-};
 use crate::log_throttle::LogThrottle;
 use crate::reactor::{Context, Source};
 use crate::timers::{Timer, TimerHandle};
 
-/// Maximum number of open calls: one that is unanswered, and the next.
-const MAX_CALLS: usize = 2;
-
 /// An event that [`DiscoveryClient::poll_event`] returns to the event loop.
 #[derive(Debug)]
 pub enum DiscoveryEvent {
-    /// An endpoint list was received. It is newer than all before it.
+    /// An endpoint list was received. It is not older than all before it.
     List(EndpointList),
     /// A call failed, or was not answered in time.
     CallFailed,
 }
 
-/// Watches discovery for endpoint lists. Times are Unix seconds, durations seconds.
+/// Watches discovery for endpoint lists. Times are Unix seconds.
 pub struct DiscoveryClient {
     address: SocketAddr,
-    /// Open calls, oldest first. An unanswered call is kept open after the next has begun. The call that is answered first is
-    /// kept, and the other one is closed, so that no answer is older than the one before it.
+    /// Decides when a call begins and ends, and what becomes of its answer.
+    watch: DiscoveryWatch,
+    /// The connections of the open calls.
     calls: Vec<Call>,
-    /// Expires when the newest call times out or leaves its pause or, if there is no call, when the next one begins.
     timer: Option<TimerHandle>,
-    /// Version of the last list received from this address; if there is none, the complete list is requested.
-    version: Option<u64>,
-    /// Whether the last call was not answered. The next call then requests the complete list, which is answered at once: an
-    /// unanswered long poll could not be distinguished from one without changes.
-    is_unresponsive: bool,
-    /// How long a call that should be answered at once may stay unanswered before the next call begins.
-    fetch_timeout: f64,
+    /// When a list was last received that is not older than the one in use.
+    listed_at: Option<f64>,
     /// Limits the log lines about failed calls.
     failures: LogThrottle,
+    /// Limits the log lines about slow answers.
+    slow_answers: LogThrottle,
     events: VecDeque<DiscoveryEvent>,
 }
 
@@ -53,12 +48,12 @@
     pub fn new(address: SocketAddr, drain_grace: f64) -> DiscoveryClient {
         DiscoveryClient {
             address,
+            watch: DiscoveryWatch::new(drain_grace),
             calls: Vec::new(),
             timer: None,
-            version: None,
-            is_unresponsive: false,
-            fetch_timeout: watch::fetch_timeout(drain_grace),
+            listed_at: None,
             failures: LogThrottle::default(),
+            slow_answers: LogThrottle::default(),
             events: VecDeque::new(),
         }
     }
@@ -71,7 +66,8 @@
 
     /// Starts to watch discovery.
     pub fn start(&mut self, context: &mut Context) {
-        self.begin_call(context);
+        self.watch.start(context.now());
+        self.take_steps(context);
     }
 
     /// Changes the address of discovery. The last endpoint list stays in use until the complete list has been read from the new
@@ -81,21 +77,16 @@
             return;
         }
         self.address = address;
-        self.version = None;
-        while !self.calls.is_empty() {
-            self.close_call(0, context);
-        }
-        self.begin_call(context);
+        self.watch.restart(context.now());
+        self.take_steps(context);
     }
 
     /// Handles the readiness of one of the connections.
     pub fn on_ready(&mut self, context: &mut Context) {
-        let mut index = 0;
-        while index < self.calls.len() {
-            match self.read_answer(index, context) {
-                Ok(None) => index += 1,
-                Ok(Some(answer)) => return self.on_answer(index, answer, context),
-                Err(error) => self.on_call_failed(index, &error, context),
+        let open: Vec<CallId> = self.calls.iter().map(|call| call.id).collect();
+        for id in open {
+            if let Err(error) = self.handle_input(id, context) {
+                self.on_call_failed(id, &error, context);
             }
         }
     }
@@ -103,119 +94,141 @@
     /// Handles the expiry of the timer.
     pub fn on_timer(&mut self, context: &mut Context) {
         self.timer = None;
-        match self.calls.last().map(Call::state) {
-            None => self.begin_call(context),
-            Some(CallState::Pausing) => {
-                let newest = self.calls.len() - 1;
-                if let Err(error) = self.send_request(newest, context) {
-                    self.on_call_failed(newest, &error, context);
-                }
-            }
-            Some(CallState::Connecting | CallState::Fetching | CallState::Watching) => {
-                self.is_unresponsive = true;
-                self.report_failure(&CallError::Timeout, context);
-                self.begin_call(context);
-            }
+        if self.watch.on_timer(context.now()) {
+            self.report_failure(&CallError::Timeout, context);
         }
+        self.take_steps(context);
+    }
+
+    /// Returns the number of open calls.
+    pub fn open_calls(&self) -> usize {
+        self.calls.len()
+    }
+
+    /// Returns how many descriptors the calls hold beyond those reserved for discovery.
+    pub fn shared_descriptors(&self) -> usize {
+        self.calls.len().saturating_sub(MIN_OPEN_CALLS)
+    }
+
+    /// Limits the calls that begin from now on to the reserved descriptors and `free` shared ones.
+    pub fn limit_shared_descriptors(&mut self, free: usize) {
+        self.watch.limit_open_calls(MIN_OPEN_CALLS + free);
+    }
+
+    /// Closes a call to free its shared descriptor; returns false if there is none to close.
+    pub fn close_spare_call(&mut self, context: &mut Context) -> bool {
+        let has_closed = self.watch.close_spare_call();
+        self.take_steps(context);
+        has_closed
     }
 
-    /// Connects to discovery. If the maximum number of calls is open, the oldest call is kept while it may still be answered,
-    /// and the call after it is closed.
-    fn begin_call(&mut self, context: &mut Context) {
-        if self.calls.len() >= MAX_CALLS {
-            let oldest_has_expired = self.calls[0].has_expired(context.now());
-            self.close_call(usize::from(!oldest_has_expired), context);
+    /// Returns the number of invariant violations of the watch.
+    pub fn invariant_violations(&self) -> u64 {
+        self.watch.invariant_violations()
+    }
+
+    /// Returns the time in which an answer is expected to arrive, in seconds.
+    pub fn expected_response_seconds(&self) -> f64 {
+        self.watch.expected_response_seconds()
+    }
+
+    /// Returns when discovery last confirmed or changed the list in use, if it has.
+    pub fn listed_at(&self) -> Option<f64> {
+        self.listed_at
+    }
+
+    /// Reads what has arrived on a call, unless the call was closed meanwhile. A call whose connection has just been established
+    /// first gets its request.
+    fn handle_input(&mut self, id: CallId, context: &mut Context) -> Result<(), CallError> {
+        let Some(index) = self.index_of(id) else { return Ok(()) };
+        if self.calls[index].was_just_established()? {
+            self.watch.on_connected(id, context.now());
+            self.take_steps(context);
         }
-        let keep_until = context.now() + SUPERSEDED_CALL_LIFETIME_SECONDS;
-        for call in &mut self.calls {
-            call.limit_lifetime(keep_until);
+        let Some(index) = self.index_of(id) else { return Ok(()) };
+        match self.calls[index].read(context)? {
+            None => {}
+            Some(answer) => self.on_answer(id, answer, context),
         }
-        match Call::connect(self.address, context) {
-            Ok(call) => {
-                self.calls.push(call);
-                self.set_timer(self.fetch_timeout, context);
-            }
-            Err(error) => {
-                self.report_failure(&CallError::Connection(error), context);
-                self.set_timer(RETRY_DELAY_SECONDS, context);
+        Ok(())
+    }
+
+    fn on_answer(&mut self, id: CallId, answer: Answer, context: &mut Context) {
+        context.work.count_message(0);
+        let head = AnswerHead { version: answer.list.version, closes_connection: answer.closes_connection };
+        let outcome = self.watch.on_answer(id, head, context.now());
+        if outcome.is_slow() {
+            self.report_slow_answer(outcome.response_seconds, context);
+        }
+        match outcome.verdict {
+            Verdict::Apply => {
+                self.listed_at = Some(context.now());
+                self.events.push_back(DiscoveryEvent::List(answer.list));
             }
+            Verdict::Superseded => context.counters.discovery_answers_superseded += 1,
         }
+        // Input that has arrived behind the answer causes no readiness event of its own.
+        context.wake(Source::Discovery);
+        self.take_steps(context);
     }
 
-    /// Returns the next request to send on an established connection.
-    fn next_request(&self) -> Request {
-        match self.version {
-            Some(version) if !self.is_unresponsive => Request::changes_since(version),
-            _ => Request::complete_list(self.fetch_timeout),
+    fn on_call_failed(&mut self, id: CallId, error: &CallError, context: &mut Context) {
+        self.report_failure(error, context);
+        // The watch may have closed the call before.
+        if self.index_of(id).is_some() {
+            self.watch.on_failed(id, context.now());
         }
+        self.take_steps(context);
     }
 
-    fn send_request(&mut self, index: usize, context: &mut Context) -> Result<(), CallError> {
-        let request = self.next_request();
-        let sent = self.calls[index].send(&request, self.address, context);
-        let is_newest = index + 1 == self.calls.len();
-        if is_newest {
-            self.set_timer(request.timeout, context);
+    /// Takes the steps that the watch requires, and sets the timer for the next ones.
+    fn take_steps(&mut self, context: &mut Context) {
+        while let Some(step) = self.watch.poll_step() {
+            match step {
+                Step::Connect(id) => self.connect(id, context),
+                Step::Send(id, request) => self.send(id, request, context),
+                Step::Close(id) => self.close(id, context),
+            }
         }
-        Ok(sent?)
+        context.timers.clear(self.timer.take());
+        self.timer = Some(context.timers.set(self.watch.wake_at(), Timer::Discovery));
     }
 
-    /// Returns the answer to a call once it is complete. A call whose connection has just been established first gets its
-    /// request.
-    fn read_answer(&mut self, index: usize, context: &mut Context) -> Result<Option<Answer>, CallError> {
-        let is_connected = self.calls[index].is_connected()?;
-        if self.calls[index].state() == CallState::Connecting {
-            if !is_connected {
-                return Ok(None);
+    fn connect(&mut self, id: CallId, context: &mut Context) {
+        context.counters.discovery_calls += 1;
+        match Call::connect(id, self.address, context) {
+            Ok(call) => self.calls.push(call),
+            Err(error) => {
+                self.report_failure(&CallError::Connection(error), context);
+                self.watch.on_failed(id, context.now());
             }
-            self.send_request(index, context)?;
         }
-        self.calls[index].read(context)
     }
 
-    /// Handles an answer. The answered call is kept and any other is closed. The next request is sent at once, because only
-    /// that continues the watch.
-    fn on_answer(&mut self, index: usize, answer: Answer, context: &mut Context) {
-        context.work.count_message(0);
-        for other in (0..self.calls.len()).rev().filter(|other| *other != index) {
-            self.close_call(other, context);
-        }
-        let was_early = self.calls[0].record_answer(context.now());
-        let old_version = self.version.replace(answer.list.version);
-        // A discovery that answers long polls at once must not keep this router busy.
-        let pauses = was_early && old_version == self.version;
-        self.is_unresponsive = false;
-        self.events.push_back(DiscoveryEvent::List(answer.list));
-        if answer.closes_connection {
-            self.close_call(0, context);
+    fn send(&mut self, id: CallId, request: Request, context: &mut Context) {
+        let Some(index) = self.index_of(id) else { return };
+        if let Err(error) = self.calls[index].send(request, self.address) {
+            self.report_failure(&CallError::Connection(error), context);
+            self.watch.on_failed(id, context.now());
         }
-        match (pauses, answer.closes_connection) {
-            (true, false) => {
-                self.calls[0].transition(CallState::Pausing, context);
-                self.set_timer(RETRY_DELAY_SECONDS, context);
-            }
-            (true, true) => self.set_timer(RETRY_DELAY_SECONDS, context),
-            (false, true) => self.begin_call(context),
-            (false, false) => match self.send_request(0, context) {
-                // Input that has arrived behind the answer causes no readiness event of its own.
-                Ok(()) => context.wake(Source::Discovery),
-                Err(error) => self.on_call_failed(0, &error, context),
-            },
+    }
+
+    fn close(&mut self, id: CallId, context: &mut Context) {
+        if let Some(index) = self.index_of(id) {
+            self.calls.remove(index).close(context);
         }
     }
 
-    /// Closes a failed call. If it was the only one, the next call follows: at once if the failed one had been answered before,
-    /// because updates that discovery has meanwhile apply at once.
-    fn on_call_failed(&mut self, index: usize, error: &CallError, context: &mut Context) {
-        let was_answered = self.close_call(index, context);
-        self.is_unresponsive |= !was_answered;
-        self.report_failure(error, context);
-        let was_newest = self.calls.len() == index;
-        if self.calls.is_empty() && was_answered {
-            self.begin_call(context);
-        } else if was_newest {
-            // An older call may still be open, and may still be answered.
-            self.set_timer(RETRY_DELAY_SECONDS, context);
+    fn index_of(&self, id: CallId) -> Option<usize> {
+        self.calls.iter().position(|call| call.id == id)
+    }
+
+    /// Counts an answer that took long, and logs it unless another was logged shortly before.
+    fn report_slow_answer(&mut self, response_seconds: f64, context: &mut Context) {
+        context.counters.discovery_answers_slow += 1;
+        if let Some(answers) = self.slow_answers.admit(context.now()) {
+            warn!(context.log, "discovery slow"; "answers" => answers, "open_calls" => self.calls.len(),
+                "response_ms" => milliseconds(response_seconds));
         }
     }
 
@@ -224,19 +237,9 @@
         context.counters.discovery_calls_failed += 1;
         if self.failures.admit(context.now()).is_some() {
             let calls_failed = context.counters.discovery_calls_failed;
-            warn!(context.log, "discovery call failed"; "error" => %error, "calls_failed" => calls_failed);
+            warn!(context.log, "discovery call failed"; "error" => %error, "calls_failed" => calls_failed,
+                "open_calls" => self.calls.len());
         }
         self.events.push_back(DiscoveryEvent::CallFailed);
     }
-
-    /// Sets the timer to expire after `delay` seconds, in place of its current expiry.
-    fn set_timer(&mut self, delay: f64, context: &mut Context) {
-        context.timers.clear(self.timer.take());
-        self.timer = Some(context.timers.set(context.now() + delay, Timer::Discovery));
-    }
-
-    /// Closes a call; returns true if a request on it was answered.
-    fn close_call(&mut self, index: usize, context: &mut Context) -> bool {
-        self.calls.remove(index).close(context)
-    }
 }
--- a/crates/ottersill/src/discovery/mod.rs
+++ b/crates/ottersill/src/discovery/mod.rs
@@ -6,4 +6,3 @@
 pub mod endpoint_list;
 pub mod http;
 pub mod registry;
-pub mod watch;
--- a/crates/ottersill/src/event_loop/attempts.rs
+++ b/crates/ottersill/src/event_loop/attempts.rs
@@ -88,12 +88,10 @@
         // Attempts leave one descriptor per endpoint for its health check, as without one its health stays unknown.
         let reserved = match assignment {
             Assignment::HealthCheck => 0,
-            Assignment::Request(_) => self.endpoints.len().min(self.limits.total / 4),
+            Assignment::Request(_) => self.descriptors_for_health_checks(),
         };
-        let taken = self.clients.descriptors_in_use() + self.backends.len();
-        let has_room = taken + reserved < self.limits.total
-            || self.clients.close_one_lingering(&mut self.context)
-            || self.backends.close_longest_idle(&mut self.context);
+        let taken = self.connection_descriptors_in_use() + self.discovery.shared_descriptors();
+        let has_room = taken + reserved < self.limits.total || self.free_descriptor();
         if !has_room {
             self.context.counters.attempts_without_descriptor += 1;
             return Err(AttemptOutcome::NeverSent);
@@ -105,6 +103,23 @@
         Ok(())
     }
 
+    /// Closes a connection that is not needed now, to free its descriptor. Returns false if there is none.
+    pub(super) fn free_descriptor(&mut self) -> bool {
+        self.clients.close_one_lingering(&mut self.context)
+            || self.backends.close_longest_idle(&mut self.context)
+            || self.discovery.close_spare_call(&mut self.context)
+    }
+
+    /// Returns how many descriptors client and backend connections hold, out of those that they share.
+    pub(super) fn connection_descriptors_in_use(&self) -> usize {
+        self.clients.descriptors_in_use() + self.backends.len()
+    }
+
+    /// Returns how many descriptors are left to health checks.
+    pub(super) fn descriptors_for_health_checks(&self) -> usize {
+        self.endpoints.len().min(self.limits.total / 4)
+    }
+
     /// Writes the connection's assignment. Reads the clock anew, and checks last whether the client has disconnected, as the
     /// process may have stalled since the iteration began.
     fn send_assignment(&mut self, id: usize) {
--- a/crates/ottersill/src/event_loop/clients.rs
+++ b/crates/ottersill/src/event_loop/clients.rs
@@ -63,9 +63,9 @@
     fn make_room_for_client(&mut self) -> bool {
         // Clients that have not sent a query yet are closed first, so that many of them can't displace the others.
         (self.clients.has_room() || self.close_idle_client(false) || self.close_idle_client(true))
-            && (self.clients.len() + self.backends.len() < self.limits.total
-                || self.clients.close_one_lingering(&mut self.context)
-                || self.backends.close_longest_idle(&mut self.context))
+            && (self.clients.len() + self.backends.len() + self.discovery.shared_descriptors()
+                < self.limits.total
+                || self.free_descriptor())
     }
 
     /// Closes idle connections of clients that have sent a query while there are too many such clients.
--- a/crates/ottersill/src/event_loop/discovery.rs
+++ b/crates/ottersill/src/event_loop/discovery.rs
@@ -24,16 +24,24 @@
 
     /// Handles readiness of a connection to the discovery service.
     pub(super) fn on_discovery_ready(&mut self) {
+        self.limit_discovery_calls();
         self.discovery.on_ready(&mut self.context);
         self.on_discovery_events();
     }
 
     /// Handles the expired timer of the watch on the discovery service.
     pub(super) fn on_discovery_timer(&mut self) {
+        self.limit_discovery_calls();
         self.discovery.on_timer(&mut self.context);
         self.on_discovery_events();
     }
 
+    /// Leaves to calls beyond the reserved ones the descriptors that neither connections nor health checks need.
+    fn limit_discovery_calls(&mut self) {
+        let needed = self.connection_descriptors_in_use() + self.descriptors_for_health_checks();
+        self.discovery.limit_shared_descriptors(self.limits.total.saturating_sub(needed));
+    }
+
     /// Handles the pending events of the discovery client.
     fn on_discovery_events(&mut self) {
         while let Some(event) = self.discovery.poll_event() {
--- a/crates/ottersill/src/event_loop/mod.rs
+++ b/crates/ottersill/src/event_loop/mod.rs
@@ -18,6 +18,7 @@
 use crate::backend::Backends;
 use crate::client::Clients;
 use crate::client::connection_limits::ConnectionLimits;
+use crate::clock::milliseconds;
 use crate::control::server::ControlServer;
 use crate::discovery::client::DiscoveryClient;
 use crate::discovery::registry::EndpointRegistry;
@@ -276,10 +277,19 @@
             "client_connections_open" => self.clients.len(), "backend_connections_open" => self.backends.len(),
             "statements_in_flight" => self.requests.count(), "statement_ids_held" => self.statement_ids.held(),
             "executed_write_ids_kept" => self.statement_ids.executed_writes(),
-            "statement_bytes_stored" => self.clients.stored_statement_bytes());
+            "statement_bytes_stored" => self.clients.stored_statement_bytes(),
+            "discovery_calls_open" => self.discovery.open_calls(),
+            "discovery_response_expected_ms" => milliseconds(self.discovery.expected_response_seconds()),
+            "endpoint_list_age_ms" => self.endpoint_list_age_ms());
         info!(log, "event loop: {}", self.context.statistics);
     }
 
+    /// Returns how long ago discovery last sent a list that is not older than the one in use; none before the first.
+    fn endpoint_list_age_ms(&self) -> Option<u64> {
+        let listed_at = self.discovery.listed_at()?;
+        Some(milliseconds(self.context.now() - listed_at))
+    }
+
     /// Returns whether no client is connected and none can connect.
     pub fn has_no_clients(&self) -> bool {
         self.clients.is_empty() && !self.clients.is_listening()
@@ -287,6 +297,8 @@
 
     /// Returns the number of invariant violations counted by the event loop and the routing module.
     pub fn invariant_violations(&self) -> u64 {
-        self.context.counters.invariant_violations + self.facade.invariant_violations()
+        self.context.counters.invariant_violations
+            + self.facade.invariant_violations()
+            + self.discovery.invariant_violations()
     }
 }
--- a/crates/ottersill/src/lifecycle/config.rs
+++ b/crates/ottersill/src/lifecycle/config.rs
@@ -5,6 +5,7 @@
 use std::net::SocketAddr;
 
 use ottersill_config::deployment::{DeploymentSettings, SettingsError};
+use ottersill_routing::discovery_watch::MIN_OPEN_CALLS;
 use serde::{Deserialize, Deserializer};
 use thiserror::Error;
 
@@ -14,9 +15,9 @@
 /// The environment variable that holds the path of the configuration file.
 const PATH_VARIABLE: &str = "NODE_CONFIG";
 
-/// Descriptors that the router needs besides its connections: three standard streams, four of the event loop, the listener, two
-/// connections to discovery (one of which may be unresponsive) and one for accepting.
-const OWN_DESCRIPTORS: usize = 11;
+/// Descriptors that the router needs besides its connections: three standard streams, four of the event loop, the listener, one
+/// for accepting, and the least number of calls to discovery. Further calls share the descriptors of the connections.
+const OWN_DESCRIPTORS: usize = 9 + MIN_OPEN_CALLS;
 /// Descriptors for clients beyond the connection limit, which receive a rejection and are disconnected.
 const REJECTION_DESCRIPTORS: usize = 8;
 /// Minimum number of connections with which a router can serve: one to a client and one to an endpoint.
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -19,9 +19,10 @@
 //! 8. The types that hold these states: `endpoint`, `replica_set`, `state`; and, below all others, `ids`, `clock`, `sampling`,
 //!    `convert`.
 //!
-//! Three modules stand apart, for the caller: [`fair_queue`], the order in which it serves its sources of work and how much of each
+//! Some modules stand apart, for the caller: [`fair_queue`], the order in which it serves its sources of work and how much of each
 //! at a time; [`statement_ids`], which of two statements with one id is the first; [`executed_writes`], the ids that must not run
-//! again.
+//! again; [`discovery_watch`], when discovery is called and which of its answers are acted on, with its estimate of the
+//! [`response_time`].
 //!
 //! No two modules import each other: imports lead from `facade` and `router` down to `ids`, `clock`, `sampling`, `convert`
 //! and `interface`.
@@ -41,6 +42,7 @@
 mod consistency;
 mod convert;
 mod departure;
+pub mod discovery_watch;
 mod dispatch;
 mod eligibility;
 mod endpoint;
@@ -56,6 +58,7 @@
 mod primary;
 mod replica_set;
 mod request;
+pub mod response_time;
 mod retention;
 mod retry;
 mod router;
--- a/crates/testkit/src/scripted_peer/discovery.rs
+++ b/crates/testkit/src/scripted_peer/discovery.rs
@@ -101,6 +101,11 @@
     /// Answers with `list` and continues to serve the connection.
     pub fn answer(mut self, list: &str) {
         self.write(&format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{list}", list.len()));
+        self.serve_next();
+    }
+
+    /// Continues to serve the connection, on which a complete answer has been written.
+    pub fn serve_next(self) {
         let DiscoveryCall { socket, calls, .. } = self;
         thread::spawn(move || receive(socket, &calls));
     }
--- a/crates/testkit/src/stand_in/connection.rs
+++ b/crates/testkit/src/stand_in/connection.rs
@@ -73,6 +73,10 @@
 fn reply(store: &SharedState, endpoint: usize, text: &str) -> Reply {
     let behaviour = store.lock().endpoints[endpoint].behaviour;
     if !is_statement(text) {
+        if !is_empty_query(text) {
+            let duration = store.lock().health_check_duration;
+            thread::sleep(duration);
+        }
         let answer = execute(store, endpoint, text);
         let answer = with_ready_messages(store, endpoint, answer);
         // By the operators' protocol page an endpoint may close a connection after anything but an empty query.
--- a/crates/testkit/src/stand_in/discovery.rs
+++ b/crates/testkit/src/stand_in/discovery.rs
@@ -3,8 +3,12 @@
 use std::io::{self, BufRead, BufReader, Lines, Write};
 use std::net::{Shutdown, SocketAddr, TcpStream};
 use std::sync::PoisonError;
+use std::thread;
 use std::time::Duration;
 
+use crate::clock::unix_seconds;
+
+use super::answer_delay::AnswerDelay;
 use super::shared_state::SharedState;
 use super::state::State;
 
@@ -24,7 +28,10 @@
     let mut writer = client.try_clone()?;
     let mut lines = BufReader::new(client).lines();
     while let Some(request) = read_request(&mut lines)? {
-        let list = wait_for_list(store, &request, proxied);
+        store.lock().discovery_calls.push(unix_seconds());
+        let Some(list) = wait_for_list(store, &request, proxied) else {
+            return wait_for_close(&mut lines);
+        };
         let closes = store.lock().discovery_closes;
         writer.write_all(response(&list, closes).as_bytes())?;
         if closes {
@@ -49,8 +56,15 @@
     digits.parse().ok()
 }
 
-/// Returns the list when a newer one exists or the wait has timed out, and not before discovery answers calls.
-fn wait_for_list(store: &SharedState, request: &ListRequest, proxied: &[SocketAddr]) -> String {
+/// Returns when the caller has closed its connection.
+fn wait_for_close(lines: &mut Lines<BufReader<TcpStream>>) -> io::Result<()> {
+    while lines.next().transpose()?.is_some() {}
+    Ok(())
+}
+
+/// Returns the list when a newer one exists or the wait has timed out, and not before discovery answers calls. Returns none if
+/// the call is never answered.
+fn wait_for_list(store: &SharedState, request: &ListRequest, proxied: &[SocketAddr]) -> Option<String> {
     let must_wait = |state: &mut State| {
         state.discovery_is_silent || request.since.is_some_and(|since| state.version <= since)
     };
@@ -59,8 +73,32 @@
         .wait_timeout_while(store.lock(), request.max_wait, must_wait)
         .map_or_else(|poisoned| poisoned.into_inner().0, |waited| waited.0);
     while state.discovery_is_silent {
+        if state.discovery_forgets_calls {
+            return None;
+        }
         state = store.list_changed().wait(state).unwrap_or_else(PoisonError::into_inner);
     }
+    match state.answer_delay.clone() {
+        AnswerDelay::OneAtATime(delay) => {
+            drop(state);
+            let turn = store.discovery_turns().take();
+            let list = make_list(store, request, proxied);
+            thread::sleep(delay);
+            drop(turn);
+            Some(list)
+        }
+        AnswerDelay::Parallel(range) => {
+            let delay = state.draw_delay(&range);
+            drop(state);
+            let list = make_list(store, request, proxied);
+            thread::sleep(delay);
+            Some(list)
+        }
+    }
+}
+
+fn make_list(store: &SharedState, request: &ListRequest, proxied: &[SocketAddr]) -> String {
+    let mut state = store.lock();
     let list = state.endpoint_list(request.since, proxied);
     state.list_bytes_sent += list.len() as u64;
     list
--- a/crates/testkit/src/stand_in/mod.rs
+++ b/crates/testkit/src/stand_in/mod.rs
@@ -5,10 +5,12 @@
 //! - [`StandInStore`]: the endpoints and discovery, and control of their behaviour
 //! - [`MembershipChange`]: which endpoints join and leave in one change of discovery's list
 //! - [`Behaviour`]: how an endpoint handles the statements that it receives
+//! - [`AnswerDelay`]: how long discovery takes for its answers
 //! - [`Client`]: a session with a router
 //! - [`message`]: encodes a message of the protocol
 
 mod acceptor;
+mod answer_delay;
 mod behaviour;
 mod client;
 mod connection;
@@ -20,6 +22,7 @@
 mod state;
 mod store;
 
+pub use answer_delay::AnswerDelay;
 pub use behaviour::Behaviour;
 pub use client::Client;
 pub use membership::MembershipChange;
--- a/crates/testkit/src/stand_in/shared_state.rs
+++ b/crates/testkit/src/stand_in/shared_state.rs
@@ -5,6 +5,7 @@
 
 use crate::sync::lock;
 
+use super::answer_delay::Turns;
 use super::state::State;
 
 /// The store's state behind a lock, with a notification of changes of the endpoint list.
@@ -12,6 +13,7 @@
 pub(super) struct SharedState {
     state: Mutex<State>,
     list_changed: Condvar,
+    discovery_turns: Turns,
 }
 
 impl SharedState {
@@ -20,6 +22,11 @@
         lock(&self.state)
     }
 
+    /// The turns of calls to a discovery that works on one at a time.
+    pub(super) fn discovery_turns(&self) -> &Turns {
+        &self.discovery_turns
+    }
+
     /// Notified when discovery's list changes, and when discovery stops or resumes answering.
     pub(super) fn list_changed(&self) -> &Condvar {
         &self.list_changed
--- a/crates/testkit/src/stand_in/state.rs
+++ b/crates/testkit/src/stand_in/state.rs
@@ -2,10 +2,15 @@
 
 use std::collections::HashMap;
 use std::net::SocketAddr;
+use std::ops::RangeInclusive;
 use std::time::Duration;
 
+use rand::rngs::SmallRng;
+use rand::{Rng, SeedableRng};
+
 use crate::clock::{unix_ms, unix_seconds};
 
+use super::answer_delay::AnswerDelay;
 use super::behaviour::Behaviour;
 use super::endpoint_list::{ListedEndpoint, endpoint_list_json};
 use super::pg_messages::{HEALTH_QUERY, empty_query_response, error_response, health_report, single_row};
@@ -119,6 +124,14 @@
     pub(super) version: u64,
     /// Whether discovery accepts calls without answering them.
     pub(super) discovery_is_silent: bool,
+    /// Whether calls that wait while discovery is silent are never answered.
+    pub(super) discovery_forgets_calls: bool,
+    /// How long discovery takes for an answer.
+    pub(super) answer_delay: AnswerDelay,
+    /// Draws the delays; present once a seed is set.
+    delay_generator: Option<SmallRng>,
+    /// When each call to discovery arrived, in Unix seconds.
+    pub(super) discovery_calls: Vec<f64>,
     /// Whether discovery closes the connection after each answer.
     pub(super) discovery_closes: bool,
     /// Whether calls with a version are answered with the changes since that version only.
@@ -129,6 +142,8 @@
     pub(super) connections_accepted: u64,
     /// Duration of each statement; initially zero.
     pub(super) statement_duration: Duration,
+    /// Time that an endpoint takes for the answer to a health check; initially zero.
+    pub(super) health_check_duration: Duration,
     values: HashMap<String, Vec<u8>>,
     /// Views that write when they are read.
     pub(super) views_with_side_effects: Vec<String>,
@@ -152,6 +167,17 @@
         endpoint.changed_in_version = self.version;
     }
 
+    /// Draws the delay of one answer. Without [`seed_delays`](Self::seed_delays) the draws are those of seed 0.
+    pub(super) fn draw_delay(&mut self, range: &RangeInclusive<Duration>) -> Duration {
+        let generator = self.delay_generator.get_or_insert_with(|| SmallRng::seed_from_u64(0));
+        generator.random_range(range.clone())
+    }
+
+    /// Sets the seed from which delays are drawn.
+    pub(super) fn seed_delays(&mut self, seed: u64) {
+        self.delay_generator = Some(SmallRng::seed_from_u64(seed));
+    }
+
     /// Executes a statement at an endpoint and returns the result's messages.
     pub(super) fn execute(&mut self, endpoint: usize, text: &str) -> Vec<u8> {
         if is_empty_query(text) {
--- a/crates/testkit/src/stand_in/store.rs
+++ b/crates/testkit/src/stand_in/store.rs
@@ -9,6 +9,7 @@
 use crate::sync::lock;
 
 use super::acceptor::{Acceptor, ConnectionHandler};
+use super::answer_delay::AnswerDelay;
 use super::behaviour::Behaviour;
 use super::membership::MembershipChange;
 use super::shared_state::SharedState;
@@ -126,6 +127,26 @@
         self.shared.list_changed().notify_all();
     }
 
+    /// Makes calls that wait while discovery is silent unanswered for good, as those to an agent that forgets them.
+    pub fn forget_calls_in_silence(&self) {
+        self.lock().discovery_forgets_calls = true;
+    }
+
+    /// Sets how long discovery takes for the answers that are due from now on.
+    pub fn set_answer_delay(&self, delay: AnswerDelay) {
+        self.lock().answer_delay = delay;
+    }
+
+    /// Sets the seed from which delays of answers are drawn.
+    pub fn seed_answer_delays(&self, seed: u64) {
+        self.lock().seed_delays(seed);
+    }
+
+    /// Returns when each call to discovery arrived, in Unix seconds.
+    pub fn discovery_calls(&self) -> Vec<f64> {
+        self.lock().discovery_calls.clone()
+    }
+
     /// Makes discovery close the connection after each answer.
     pub fn close_discovery_connections(&self) {
         self.lock().discovery_closes = true;
@@ -141,6 +162,11 @@
         self.lock().statement_duration = duration;
     }
 
+    /// Sets the time that endpoints take for the answer to a health check.
+    pub fn set_health_check_duration(&self, duration: Duration) {
+        self.lock().health_check_duration = duration;
+    }
+
     /// Returns the statements that an endpoint received completely.
     pub fn received(&self, endpoint: usize) -> Vec<String> {
         self.lock().endpoints[endpoint].received.clone()
