Request the complete list when discovery's versions begin anew

What callers would see: discovery restarts under its address and counts its versions from the beginning. Endpoints that began to drain before the router's next call went on being sent statements until they were named again. Not seen in service; found in the review of answers to older calls.

Cause: an answer with changes alone and a lower version was taken as the changes after the version in use. The next call asked for what is newer than that low version, so what had changed up to it was never told.

Evidence: the_complete_list_is_requested_when_versions_begin_anew (slow_discovery.rs) failed on the tree before the last commit: the next call asked since=3.

Change: a lower version in the answer to a call that was sent after the list in use was read means that versions have begun anew. A complete list is acted on as before, after changes alone the complete list is requested. Line `discovery versions restarted`.

--- a/crates/ottersill/src/discovery/client.rs
+++ b/crates/ottersill/src/discovery/client.rs
@@ -7,7 +7,7 @@
 use ottersill_routing::discovery_watch::{
     AnswerHead, CallId, DiscoveryWatch, MIN_OPEN_CALLS, Request, Step, Verdict,
 };
-use slog::warn;
+use slog::{info, warn};
 
 use crate::clock::milliseconds;
 use crate::discovery::call::{Answer, Call, CallError};
@@ -155,7 +155,11 @@
 
     fn on_answer(&mut self, id: CallId, answer: Answer, context: &mut Context) {
         context.work.count_message(0);
-        let head = AnswerHead { version: answer.list.version, closes_connection: answer.closes_connection };
+        let head = AnswerHead {
+            version: answer.list.version,
+            is_complete: answer.list.is_complete,
+            closes_connection: answer.closes_connection,
+        };
         let outcome = self.watch.on_answer(id, head, context.now());
         if outcome.is_slow() {
             self.report_slow_answer(outcome.response_seconds, context);
@@ -166,6 +170,9 @@
                 self.events.push_back(DiscoveryEvent::List(answer.list));
             }
             Verdict::Superseded => context.counters.discovery_answers_superseded += 1,
+            Verdict::Incomplete => {
+                info!(context.log, "discovery versions restarted"; "version" => head.version);
+            }
         }
         // Input that has arrived behind the answer causes no readiness event of its own.
         context.wake(Source::Discovery);
--- a/crates/ottersill/tests/slow_discovery.rs
+++ b/crates/ottersill/tests/slow_discovery.rs
@@ -124,6 +124,21 @@
     fixture.assert_read_avoids_draining_replica();
 }
 
+/// Guards against a discovery that restarts and counts its versions anew: its lists were taken as changes after a version that it
+/// does not know, so what had changed up to its present version was never known.
+#[test]
+fn the_complete_list_is_requested_when_versions_begin_anew() {
+    let fixture = Fixture::start(&[]);
+    fixture.discovery.serve_list(40, &fixture.endpoint_list(40, "active", "active"));
+    let watch = fixture.discovery.next_call();
+    watch.answer(r#"{"seq":3,"whole":false,"hosts":[]}"#);
+    let next = fixture.discovery.next_call();
+    assert!(!next.request_line.contains("since="), "{}", next.request_line);
+    next.answer(&fixture.endpoint_list(3, "active", "leaving"));
+    wait_for_watch(&fixture.discovery, 3);
+    fixture.assert_read_avoids_draining_replica();
+}
+
 /// A discovery that was named by SIGHUP, is silent at first and slow after that, has to be heard within four seconds of the signal.
 /// It answers only calls that arrive after its return.
 #[test]
--- a/crates/routing/src/discovery_watch.rs
+++ b/crates/routing/src/discovery_watch.rs
@@ -59,7 +59,7 @@
             (self, next),
             (Connecting | Pausing, Fetching | Watching)
                 | (Fetching, Watching)
-                | (Watching, Watching | Pausing)
+                | (Watching, Watching | Fetching | Pausing)
         )
     }
 }
@@ -90,6 +90,8 @@
 pub struct AnswerHead {
     /// Version of the list.
     pub version: u64,
+    /// Whether the list is complete.
+    pub is_complete: bool,
     /// Whether discovery closes the connection after this answer.
     pub closes_connection: bool,
 }
@@ -101,6 +103,8 @@
     Apply,
     /// The list is older than the one that was acted on.
     Superseded,
+    /// Discovery's versions have begun anew, and the list names only changes: the complete list is requested.
+    Incomplete,
 }
 
 /// What an answer shows, and what becomes of it.
@@ -283,7 +287,7 @@
         // A discovery that answers long polls at once must not keep this router busy.
         let is_early = answered.state == CallState::Watching
             && now - answered.requested_at < LONG_POLL_SECONDS - RESPONSE_GRACE_SECONDS;
-        let pauses = is_early && old_version == self.version();
+        let pauses = is_early && verdict != Verdict::Incomplete && old_version == self.version();
         self.continue_watch(&answered, answer.closes_connection, pauses, now);
         self.close_lost_calls(now);
         AnswerOutcome { verdict, response_seconds: (now - answered.due_at).max(0.0) }
@@ -417,6 +421,10 @@
             if call.order <= list.read_after {
                 return Verdict::Superseded;
             }
+            if !answer.is_complete {
+                self.applied = None;
+                return Verdict::Incomplete;
+            }
         }
         let is_known = self.version() == Some(answer.version);
         if !is_known {
--- a/crates/routing/tests/discovery_watch.rs
+++ b/crates/routing/tests/discovery_watch.rs
@@ -28,7 +28,7 @@
 #[case::list_after_the_list(CallState::Fetching, CallState::Fetching, false)]
 #[case::pause_after_the_list(CallState::Fetching, CallState::Pausing, false)]
 #[case::watch_again(CallState::Watching, CallState::Watching, true)]
-#[case::list_after_a_watch(CallState::Watching, CallState::Fetching, false)]
+#[case::list_if_versions_begin_anew(CallState::Watching, CallState::Fetching, true)]
 #[case::pause_after_an_early_answer(CallState::Watching, CallState::Pausing, true)]
 #[case::watch_after_a_pause(CallState::Pausing, CallState::Watching, true)]
 #[case::list_after_a_pause(CallState::Pausing, CallState::Fetching, true)]
@@ -122,7 +122,7 @@
 #[derive(Clone, Copy, Debug)]
 enum Event {
     /// A call is due.
-    Due(CallId),
+    Due(CallId, Request),
     /// An answer arrives at the router.
     Answer(CallId, AnswerHead),
 }
@@ -184,7 +184,7 @@
         let Some((_, event)) = self.events.pop_first() else { return };
         self.now = next_event_at;
         match event {
-            Event::Due(id) => self.begin_answer(id),
+            Event::Due(id, request) => self.begin_answer(id, request),
             Event::Answer(id, head) if self.open.contains_key(&id) => {
                 let outcome = self.watch.on_answer(id, head, self.now);
                 if outcome.verdict == Verdict::Apply {
@@ -197,7 +197,7 @@
     }
 
     /// Discovery takes the list as it begins to work on the call.
-    fn begin_answer(&mut self, id: CallId) {
+    fn begin_answer(&mut self, id: CallId, request: Request) {
         let delay = self.behaviour.delays[self.delays_used % self.behaviour.delays.len()];
         self.delays_used += 1;
         let mut begun_at = self.now;
@@ -205,7 +205,11 @@
             begun_at = begun_at.max(self.busy_until);
             self.busy_until = begun_at + delay;
         }
-        let head = AnswerHead { version: self.behaviour.version(begun_at), closes_connection: false };
+        let head = AnswerHead {
+            version: self.behaviour.version(begun_at),
+            is_complete: request == Request::CompleteList,
+            closes_connection: false,
+        };
         self.schedule(begun_at + delay, Event::Answer(id, head));
     }
 
@@ -228,7 +232,7 @@
                     let poll = if request == Request::CompleteList { 0.0 } else { LONG_POLL_SECONDS };
                     self.open.insert(id, self.now + poll + ANSWER_LIMIT_SECONDS);
                     if let Some(due_at) = self.behaviour.due_at(self.now, request) {
-                        self.schedule(due_at, Event::Due(id));
+                        self.schedule(due_at, Event::Due(id, request));
                     }
                 }
                 Step::Close(id) => {
@@ -314,13 +318,17 @@
 /// Guards against the list of an older call that undoes a newer one, and against one that is never accepted again after a restart
 /// of discovery. Versions are those of the list in use, of the answer to a call sent before that was read, and of one sent after.
 #[rstest]
-#[case::newer(5, true, Verdict::Apply)]
-#[case::same(4, true, Verdict::Apply)]
-#[case::older(3, true, Verdict::Superseded)]
-#[case::begun_anew(3, false, Verdict::Apply)]
+#[case::newer(5, true, true, Verdict::Apply)]
+#[case::newer_changes(5, true, false, Verdict::Apply)]
+#[case::same(4, true, true, Verdict::Apply)]
+#[case::older(3, true, true, Verdict::Superseded)]
+#[case::older_changes(3, true, false, Verdict::Superseded)]
+#[case::begun_anew(3, false, true, Verdict::Apply)]
+#[case::begun_anew_changes(3, false, false, Verdict::Incomplete)]
 fn an_answer_is_judged_by_its_version_and_its_call(
     #[case] version: u64,
     #[case] sent_before: bool,
+    #[case] is_complete: bool,
     #[case] expected: Verdict,
 ) {
     let mut watch = DiscoveryWatch::new(DRAIN_GRACE);
@@ -331,10 +339,10 @@
     let steps: Vec<Step> = std::iter::from_fn(|| watch.poll_step()).collect();
     let Some(Step::Connect(second)) = steps.last().copied() else { panic!("no second call: {steps:?}") };
     watch.on_connected(second, 0.125);
-    let head = |version| AnswerHead { version, closes_connection: false };
-    watch.on_answer(second, head(4), 0.5);
+    let head = |version, is_complete| AnswerHead { version, is_complete, closes_connection: false };
+    watch.on_answer(second, head(4, true), 0.5);
     let judged = if sent_before { first } else { second };
-    assert_eq!(watch.on_answer(judged, head(version), 0.6).verdict, expected);
+    assert_eq!(watch.on_answer(judged, head(version, is_complete), 0.6).verdict, expected);
 }
 
 /// Any delays within discovery's own limit, and a silence. A discovery that works on one call at a time forgets those of a silence:
