Keep a list's transfer while its bytes arrive, and begin few calls beside it

What callers would see: the list arrives over a slow connection, all the time, but for longer than a call is kept. It is never complete, endpoints that drain go on being sent statements, and each further call begins the same transfer anew beside it. Not seen in service; the same cause as that of the slow answers, on a related path.

Cause: a call's limits went by when it was sent, whatever had arrived.

Evidence: a_list_that_arrives_slowly_is_acted_on (slow_discovery.rs; a list in pieces over six seconds) failed on: the call had been closed.

--- a/crates/ottersill/src/discovery/call.rs
+++ b/crates/ottersill/src/discovery/call.rs
@@ -85,6 +85,17 @@
     }
 }
 
+/// How far the answer to a call has arrived.
+#[derive(Debug)]
+pub enum ReadProgress {
+    /// Nothing new has arrived.
+    Nothing,
+    /// Part of the answer has arrived.
+    Partial,
+    /// The answer is complete.
+    Complete(Answer),
+}
+
 /// One connection to discovery.
 pub struct Call {
     /// Identifies the call in the watch.
@@ -129,21 +140,23 @@
         self.outbox.flush(&self.socket).map(|_| ())
     }
 
-    /// Writes pending output, reads input, and returns the answer once it is complete.
+    /// Writes pending output, reads input, and returns how far the answer has arrived.
     ///
     /// # Errors
     /// If the connection broke or was closed, or the answer is invalid; the call must then be closed.
-    pub fn read(&mut self, context: &mut Context) -> Result<Option<Answer>, CallError> {
+    pub fn read(&mut self, context: &mut Context) -> Result<ReadProgress, CallError> {
         if !self.is_established {
-            return Ok(None);
+            return Ok(ReadProgress::Nothing);
         }
         self.outbox.flush(&self.socket)?;
+        let bytes_before = self.inbox.len();
         // A reset is an error, not an end of the response: input that arrived before it is discarded with the connection.
         let outcome = self.inbox.read(&self.socket, http::MAX_RESPONSE_BYTES)?;
+        let has_arrived = self.inbox.len() > bytes_before;
         let response = self.inbox.take(|bytes| http::response(bytes, outcome == ReadOutcome::Ended));
         let response = response.map_err(CallError::Http)?;
         if let Some(response) = response {
-            let answer = Answer::parse(&response).map(Some);
+            let answer = Answer::parse(&response).map(ReadProgress::Complete);
             self.inbox.release_messages();
             return answer;
         }
@@ -152,7 +165,7 @@
             ReadOutcome::MoreToRead => context.wake(Source::Discovery),
             ReadOutcome::Drained => {}
         }
-        Ok(None)
+        Ok(if has_arrived { ReadProgress::Partial } else { ReadProgress::Nothing })
     }
 
     /// Closes the connection.
--- a/crates/ottersill/src/discovery/client.rs
+++ b/crates/ottersill/src/discovery/client.rs
@@ -10,7 +10,7 @@
 use slog::{info, warn};
 
 use crate::clock::milliseconds;
-use crate::discovery::call::{Answer, Call, CallError};
+use crate::discovery::call::{Answer, Call, CallError, ReadProgress};
 use crate::discovery::endpoint_list::EndpointList;
 use crate::log_throttle::LogThrottle;
 use crate::reactor::{Context, Source};
@@ -147,8 +147,9 @@
         }
         let Some(index) = self.index_of(id) else { return Ok(()) };
         match self.calls[index].read(context)? {
-            None => {}
-            Some(answer) => self.on_answer(id, answer, context),
+            ReadProgress::Nothing => {}
+            ReadProgress::Partial => self.watch.on_partial_answer(id, context.now()),
+            ReadProgress::Complete(answer) => self.on_answer(id, answer, context),
         }
         Ok(())
     }
--- a/crates/ottersill/tests/slow_discovery.rs
+++ b/crates/ottersill/tests/slow_discovery.rs
@@ -124,6 +124,29 @@
     fixture.assert_read_avoids_draining_replica();
 }
 
+/// Guards against a list that is never acted on because its transfer takes longer than a call is kept: bytes arrive all the
+/// time, over six seconds.
+#[test]
+fn a_list_that_arrives_slowly_is_acted_on() {
+    let fixture = Fixture::start(&[]);
+    let mut call = fixture.discovery.next_call();
+    let list = fixture.endpoint_list(2, "active", "leaving");
+    call.write(&format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n", list.len()));
+    let pieces: Vec<&str> = list.split_inclusive(',').collect();
+    let pause = Duration::from_secs(6) / u32::try_from(pieces.len()).expect("too many pieces");
+    let mut others = Vec::new();
+    for piece in &pieces {
+        others.extend(collect_calls(&fixture.discovery, Instant::now() + pause));
+        call.write(piece);
+    }
+    assert!(others.len() <= 3, "{} calls beside the transfer", others.len());
+    // The next request follows on the connection of the list.
+    drop(others);
+    call.serve_next();
+    wait_for_watch(&fixture.discovery, 2);
+    fixture.assert_read_avoids_draining_replica();
+}
+
 /// Guards against a discovery that restarts and counts its versions anew: its lists were taken as changes after a version that it
 /// does not know, so what had changed up to its present version was never known.
 #[test]
--- a/crates/routing/src/discovery_watch.rs
+++ b/crates/routing/src/discovery_watch.rs
@@ -27,6 +27,8 @@
 const MIN_CALL_INTERVAL_SECONDS: f64 = RETRY_DELAY_SECONDS / 10.0;
 /// Maximum time between calls to a silent discovery, even if the grace of a draining endpoint is very long.
 const MAX_CALL_INTERVAL_SECONDS: f64 = PROPAGATION_LIMIT_SECONDS / 6.0;
+/// Maximum number of calls beside one whose answer is arriving, so that they leave it the connection's bandwidth.
+const MAX_CALLS_BESIDE_TRANSFER: usize = 1;
 
 /// Minimum number of calls that may be open: one that is unanswered, and the next.
 pub const MIN_OPEN_CALLS: usize = 2;
@@ -134,13 +136,21 @@
     requested_at: f64,
     /// When a discovery that takes no time answers at the latest.
     due_at: f64,
+    /// When part of an answer last arrived that is not complete yet.
+    received_at: Option<f64>,
     was_answered: bool,
 }
 
 impl Call {
     /// Whether the call has had the time that discovery has for an answer.
     fn has_expired(&self, now: f64) -> bool {
-        now >= self.due_at + CALL_LIFETIME_SECONDS
+        let since = self.received_at.map_or(self.due_at, |received_at| received_at.max(self.due_at));
+        now >= since + CALL_LIFETIME_SECONDS
+    }
+
+    /// Whether part of an answer has arrived lately.
+    fn is_receiving(&self, now: f64) -> bool {
+        self.received_at.is_some_and(|received_at| now < received_at + RESPONSE_GRACE_SECONDS)
     }
 
     /// Whether the call keeps up the watch: a long poll, or the pause before one.
@@ -268,6 +278,15 @@
         self.send_request(index, now);
     }
 
+    /// Handles that part of an answer has arrived: discovery is not silent, and the rest may take its time.
+    ///
+    /// # Panics
+    /// If the call is not open.
+    pub fn on_partial_answer(&mut self, id: CallId, now: f64) {
+        let index = self.index_of(id);
+        self.calls[index].received_at = Some(now);
+    }
+
     /// Handles a complete answer, and returns what becomes of it. The next request is sent at once unless another call keeps
     /// up the watch, because only that continues it.
     ///
@@ -278,6 +297,7 @@
         self.record_response_time(index, now);
         let call = &mut self.calls[index];
         call.was_answered = true;
+        call.received_at = None;
         self.answered_order = self.answered_order.max(call.order);
         let answered = *call;
         self.is_silent = false;
@@ -320,6 +340,10 @@
             self.send_request(index, now);
             return false;
         }
+        if let Some(retry_at) = self.end_of_transfer(now) {
+            self.wake_at = retry_at;
+            return false;
+        }
         let is_unanswered = !self.calls.is_empty();
         self.is_silent |= is_unanswered;
         self.has_failed |= is_unanswered;
@@ -327,6 +351,17 @@
         is_unanswered
     }
 
+    /// While an answer arrives, returns when it is looked at again, unless another call may begin beside it.
+    fn end_of_transfer(&self, now: f64) -> Option<f64> {
+        let call = self.calls.iter().find(|call| call.is_receiving(now))?;
+        let has_company = self.calls.len() > MAX_CALLS_BESIDE_TRANSFER;
+        let may_begin_at = call.due_at + ANSWER_LIMIT_SECONDS;
+        if has_company || now < may_begin_at {
+            return Some(now + RESPONSE_GRACE_SECONDS);
+        }
+        None
+    }
+
     /// Begins a call. If as many are open as may be, the oldest is kept while it may still be answered, and the newest is closed.
     fn begin_call(&mut self, now: f64) {
         self.close_lost_calls(now);
@@ -343,6 +378,7 @@
             order: self.last_order,
             requested_at: now,
             due_at: now,
+            received_at: None,
             was_answered: false,
         });
         self.steps.push_back(Step::Connect(id));
--- a/crates/routing/tests/discovery_watch.rs
+++ b/crates/routing/tests/discovery_watch.rs
@@ -345,6 +345,25 @@
     assert_eq!(watch.on_answer(judged, head(version, is_complete), 0.6).verdict, expected);
 }
 
+/// Guards against transfers that share a slow connection: while an answer arrives, one more call is open beside it.
+#[test]
+fn few_calls_begin_while_an_answer_arrives() {
+    let mut watch = DiscoveryWatch::new(DRAIN_GRACE);
+    watch.start(0.0);
+    let Some(Step::Connect(call)) = watch.poll_step() else { panic!("no connection") };
+    watch.on_connected(call, 0.0);
+    let mut now = 0.1;
+    while now < 20.0 {
+        watch.on_partial_answer(call, now);
+        if watch.wake_at() <= now {
+            watch.on_timer(now);
+        }
+        now += 0.1;
+    }
+    assert_eq!(watch.open_calls(), 2);
+    assert!(!std::iter::from_fn(|| watch.poll_step()).any(|step| step == Step::Close(call)));
+}
+
 /// Any delays within discovery's own limit, and a silence. A discovery that works on one call at a time forgets those of a silence:
 /// if it worked on them all, it would take longer for them than a change may take to be known.
 fn any_behaviour() -> impl Strategy<Value = Behaviour> {
