Give a health check more time after one that was not answered

What callers would see: all endpoints of a group take 0.4 s for a health check, as after an overload. A router that starts then rejects every statement, reads too, without end. Not seen in service; found by looking for the cause of the slow discovery on related paths.

Cause: each health check is given up after connect_timeout_ms (0.25 s) and asked again, so that an answer which takes longer is never had. No endpoint has a known role, and nothing is dispatched.

Change: the limit doubles with each check in a row that was sent and not answered, up to 2 s, and stays above the time that answers take (the estimate of response_time.rs) while that is longer than usual (departure 33). Connecting keeps the limit of the settings.

--- a/crates/ottersill/src/event_loop/attempts.rs
+++ b/crates/ottersill/src/event_loop/attempts.rs
@@ -57,7 +57,8 @@
         }
         self.context.counters.health_checks += 1;
         // The settings have no other timeout after which an endpoint is treated as unreachable.
-        let deadline = self.context.now() + self.backends.connect_timeout();
+        let usual_limit = self.backends.connect_timeout();
+        let deadline = self.context.now() + self.facade.health_check_time_limit(endpoint, usual_limit);
         if let Err(outcome) = self.assign_to_endpoint(endpoint, Assignment::HealthCheck, deadline) {
             self.report_health_check(endpoint, outcome, LoadReport::default());
         }
--- a/crates/routing/src/facade.rs
+++ b/crates/routing/src/facade.rs
@@ -320,6 +320,12 @@
         self.router.may_send_attempt(now, request, endpoint)
     }
 
+    /// Returns within how many seconds a health check that was just requested has to be answered, its connection included. `usual`
+    /// is the limit of the settings; it is longer for an endpoint that did not answer within that.
+    pub fn health_check_time_limit(&mut self, endpoint: usize, usual: f64) -> f64 {
+        self.router.health_check_time_limit(endpoint, usual)
+    }
+
     /// Returns whether a health check that was decided on may still be sent.
     #[must_use]
     pub fn may_send_health_check(&self, endpoint: usize) -> bool {
--- a/crates/routing/src/health_check.rs
+++ b/crates/routing/src/health_check.rs
@@ -6,6 +6,8 @@
 //! once it has waited for some time (departure 32 of docs/design.md).
 
 use crate::convert::count_to_f64;
+use crate::interface::AttemptOutcome;
+use crate::response_time::ResponseTime;
 
 /// Seconds between health checks of an endpoint while its group polls.
 pub(crate) const POLL_INTERVAL_SECONDS: f64 = 1.0;
@@ -30,11 +32,59 @@
 /// them on average check each new endpoint.
 const ROUTERS_CHECKING_NEW_ENDPOINT: f64 = 8.0;
 
+/// Seconds that a check may take at most. A report that is older tells too little about the endpoint.
+const MAX_ANSWER_SECONDS: f64 = 2.0;
+/// Doublings of the time limit after checks in a row that were not answered in time.
+const MAX_DOUBLINGS: u8 = 3;
+
+/// The time limit of an endpoint's health checks, in seconds. It is the usual one unless the endpoint, though connected, does not
+/// answer within that: an endpoint that always takes longer would never be heard (departure 33 of docs/design.md).
+#[derive(Clone, Copy, Debug)]
+struct AnswerTimeLimit {
+    /// The limit of the settings.
+    usual: f64,
+    /// Checks in a row that were not answered in time, up to [`MAX_DOUBLINGS`].
+    timeouts: u8,
+    /// How long the endpoint takes while that is longer than the usual limit.
+    response_time: ResponseTime,
+}
+
+impl AnswerTimeLimit {
+    fn seconds(&self) -> f64 {
+        let most = MAX_ANSWER_SECONDS.max(self.usual);
+        let doubled = f64::from(1_u8 << self.timeouts) * self.response_time.expected_within(self.usual, most);
+        doubled.min(most)
+    }
+
+    /// Records the end of a check that took `elapsed` seconds. Only a check that was sent and not answered is repeated with a
+    /// longer limit: an endpoint to which no connection comes up would not be heard for that.
+    fn record(&mut self, outcome: AttemptOutcome, elapsed: f64) {
+        match outcome {
+            AttemptOutcome::TimedOut => self.timeouts = (self.timeouts + 1).min(MAX_DOUBLINGS),
+            AttemptOutcome::ConnectFailed | AttemptOutcome::Reset => self.timeouts = 0,
+            _ if elapsed <= self.usual => {
+                *self = AnswerTimeLimit { usual: self.usual, ..AnswerTimeLimit::default() }
+            }
+            _ => {
+                self.timeouts = 0;
+                self.response_time.record(elapsed);
+            }
+        }
+    }
+}
+
+impl Default for AnswerTimeLimit {
+    fn default() -> AnswerTimeLimit {
+        AnswerTimeLimit { usual: f64::INFINITY, timeouts: 0, response_time: ResponseTime::default() }
+    }
+}
+
 /// The health checks of one endpoint.
 #[derive(Clone, Debug)]
 pub(crate) struct HealthCheck {
     in_flight: bool,
     sent_at: f64,
+    time_limit: AnswerTimeLimit,
 }
 
 /// Reasons to check an endpoint.
@@ -88,7 +138,7 @@
 impl HealthCheck {
     /// Creates the state of a new endpoint, as if its last check had been sent at `sent_at`.
     pub(crate) fn new(sent_at: f64) -> HealthCheck {
-        HealthCheck { in_flight: false, sent_at }
+        HealthCheck { in_flight: false, sent_at, time_limit: AnswerTimeLimit::default() }
     }
 
     pub(crate) fn is_in_flight(&self) -> bool {
@@ -107,8 +157,16 @@
     }
 
     /// Records that the check ended.
-    pub(crate) fn end(&mut self) {
+    pub(crate) fn end(&mut self, now: f64, outcome: AttemptOutcome) {
         self.in_flight = false;
+        self.time_limit.record(outcome, now - self.sent_at);
+    }
+
+    /// Returns within how many seconds the check that was just decided on has to be answered, where `usual` is the limit of the
+    /// settings.
+    pub(crate) fn time_limit(&mut self, usual: f64) -> f64 {
+        self.time_limit.usual = usual;
+        self.time_limit.seconds()
     }
 
     /// Brings the next check forward by a random fraction of the urgent interval, because the endpoint was full.
--- a/crates/routing/src/router.rs
+++ b/crates/routing/src/router.rs
@@ -88,7 +88,7 @@
     ) {
         let state = &mut self.state;
         let id = EndpointId::new(endpoint);
-        state.endpoints[id].health_check.end();
+        state.endpoints[id].health_check.end(now, outcome);
         if outcome == AttemptOutcome::NeverSent {
             // The endpoint is not the cause. Treated as an answer, this outcome would end an ejection.
             return;
@@ -250,6 +250,11 @@
             && View::new(now, &self.state).meets_correctness_rules(endpoint, request)
     }
 
+    /// Returns within how many seconds a health check has to be answered; see [`Facade`](crate::facade::Facade).
+    pub fn health_check_time_limit(&mut self, endpoint: usize, usual: f64) -> f64 {
+        self.state.endpoints[EndpointId::new(endpoint)].health_check.time_limit(usual)
+    }
+
     /// Returns whether a health check that was decided on may still be sent.
     #[must_use]
     pub fn may_send_health_check(&self, endpoint: usize) -> bool {
--- a/crates/routing/tests/decisions/health_checks.rs
+++ b/crates/routing/tests/decisions/health_checks.rs
@@ -80,3 +80,49 @@
         (0..4).map(|endpoint| simulation.count(TransportCall::StartHealthCheck(endpoint))).sum::<usize>();
     assert!((4..=max_checks).contains(&checks), "{checks} health checks");
 }
+
+/// Time limit of health checks in the settings.
+const USUAL_LIMIT: f64 = 0.25;
+
+/// Waits for a health check of endpoint 1, and ends it after `seconds` or its time limit. Returns the limit.
+fn check_that_takes(simulation: &mut Simulation, seconds: f64, outcome: AttemptOutcome) -> f64 {
+    simulation.transport.0.clear();
+    simulation.send_request(WRITE);
+    while simulation.count(TransportCall::StartHealthCheck(1)) == 0 {
+        simulation.advance(0.02);
+    }
+    let limit = simulation.router.health_check_time_limit(1, USUAL_LIMIT);
+    let is_late = seconds > limit;
+    let outcome = if is_late { AttemptOutcome::TimedOut } else { outcome };
+    simulation.advance(seconds.min(limit));
+    let report = LoadReport::default();
+    simulation.router.on_health_check(simulation.now, 1, outcome, report, &mut simulation.transport);
+    limit
+}
+
+/// Guards against an endpoint that is never heard because its health checks always take longer than their limit: the limit grows
+/// until one is answered, and stays above the time that they take. An endpoint that is gone is not waited for any longer.
+#[rstest]
+#[case::slow(0.4, AttemptOutcome::Completed, &[0.25, 0.5], 0.4)]
+#[case::very_slow(1.5, AttemptOutcome::Completed, &[0.25, 0.5, 1.0, 2.0], 1.5)]
+#[case::silent(9.0, AttemptOutcome::Completed, &[0.25, 0.5, 1.0, 2.0, 2.0], 2.0)]
+#[case::quick(0.1, AttemptOutcome::Completed, &[0.25, 0.25], 0.25)]
+#[case::gone(0.1, AttemptOutcome::ConnectFailed, &[0.25, 0.25], 0.25)]
+fn the_time_limit_of_health_checks_grows_until_one_is_answered(
+    #[case] seconds: f64,
+    #[case] outcome: AttemptOutcome,
+    #[case] limits: &[f64],
+    #[case] at_least_then: f64,
+) {
+    let mut simulation = Simulation::new(config(true));
+    for limit in limits {
+        assert_eq!(check_that_takes(&mut simulation, seconds, outcome), *limit);
+    }
+    for _ in 0..20 {
+        let limit = check_that_takes(&mut simulation, seconds, outcome);
+        assert!((at_least_then..=2.0).contains(&limit), "{limit}");
+    }
+    // Once checks are quick again, or the endpoint is gone, the usual limit holds.
+    check_that_takes(&mut simulation, 0.1, outcome);
+    assert_eq!(check_that_takes(&mut simulation, 0.1, outcome), USUAL_LIMIT);
+}
