Pass over answers from before discovery's versions began anew

What callers would see: discovery restarts and counts its versions anew while a call waits. The new list is acted on; then the waiting call is answered with a list of the former count, whose version is higher, and a host that drains is used again. Not seen in service.

Cause: the order of answers went by versions, which compare only within one count. A restart under the same address left the older calls open.

Change: once versions begin anew, answers to calls that were sent before are passed over.

--- a/crates/routing/src/discovery_watch.rs
+++ b/crates/routing/src/discovery_watch.rs
@@ -180,6 +180,9 @@
     /// Order of the latest request that was answered.
     answered_order: u64,
     applied: Option<AppliedList>,
+    /// Position of the last request that had been sent when discovery's versions began anew, if they did: answers up to it have
+    /// versions of the former count.
+    versions_began_after: u64,
     /// Whether a call has failed since the last answer. The next one then requests the complete list, as discovery may have
     /// restarted.
     has_failed: bool,
@@ -204,6 +207,7 @@
             last_order: 0,
             answered_order: 0,
             applied: None,
+            versions_began_after: 0,
             has_failed: false,
             is_silent: false,
             response_time: ResponseTime::default(),
@@ -453,10 +457,14 @@
     /// Decides what becomes of an answer. A request that was sent before the list in use was read may be answered from
     /// before that list. If a later one is answered with a lower version, discovery's versions have begun anew.
     fn judge(&mut self, call: &Call, answer: AnswerHead) -> Verdict {
+        if call.order <= self.versions_began_after {
+            return Verdict::Superseded;
+        }
         if let Some(list) = self.applied.filter(|list| answer.version < list.version) {
             if call.order <= list.read_after {
                 return Verdict::Superseded;
             }
+            self.versions_began_after = self.last_order;
             if !answer.is_complete {
                 self.applied = None;
                 return Verdict::Incomplete;
