--- a/crates/routing/src/discovery_watch.rs
+++ b/crates/routing/src/discovery_watch.rs
@@ -7,19 +7,15 @@
 
 use std::collections::VecDeque;
 
+use crate::discovery_call::{Call, PROPAGATION_LIMIT_SECONDS, RESPONSE_GRACE_SECONDS};
 use crate::response_time::ResponseTime;
 
-/// The operators' service page treats an update as received this long after discovery has it, even if calls failed before. The
-/// times of a long poll and of two further calls have to fit into this limit.
-const PROPAGATION_LIMIT_SECONDS: f64 = 6.0;
-/// How long discovery may hold a long poll while nothing changes. The cost of calls to discovery is negligible.
-pub const LONG_POLL_SECONDS: f64 = PROPAGATION_LIMIT_SECONDS / 3.0;
-/// How long after its scheduled end a long poll may be answered before the next call begins, if discovery is quick.
-const RESPONSE_GRACE_SECONDS: f64 = PROPAGATION_LIMIT_SECONDS / 12.0;
-/// Discovery fails a call that it has not answered by then (the bench page's `timeout_ms`).
-pub const ANSWER_LIMIT_SECONDS: f64 = 2.0;
-/// How long an unanswered call is kept: discovery's own limit, and what connecting and a delay of this process add.
-pub const CALL_LIFETIME_SECONDS: f64 = ANSWER_LIMIT_SECONDS + 0.25;
+pub use crate::discovery_call::{
+    ANSWER_LIMIT_SECONDS, CALL_LIFETIME_SECONDS, CallId, CallState, LONG_POLL_SECONDS, Request,
+};
+use crate::list_order::ListOrder;
+pub use crate::list_order::Verdict;
+
 /// Delay after a call that failed, or that was answered early without a change. It is shorter than the interval that keeps
 /// up a watch (200 ms, the protocol page).
 pub const RETRY_DELAY_SECONDS: f64 = 0.1;
@@ -36,45 +32,6 @@
 /// the usual rate of a drain grace of 250 ms, and the one that begins.
 pub const MAX_OPEN_CALLS: usize = 20;
 
-/// Identifies a call for the lifetime of the watch.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
-pub struct CallId(u64);
-
-/// The state of one call: a connection to discovery, and the request on it.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum CallState {
-    /// The connection is being established.
-    Connecting,
-    /// A request for the complete list is in flight.
-    Fetching,
-    /// A long poll is in flight.
-    Watching,
-    /// The last long poll was answered early without a change; the next one follows after [`RETRY_DELAY_SECONDS`].
-    Pausing,
-}
-
-impl CallState {
-    /// Whether a call may go from this state to `next`.
-    pub fn may_become(self, next: CallState) -> bool {
-        use CallState::*;
-        matches!(
-            (self, next),
-            (Connecting | Pausing, Fetching | Watching)
-                | (Fetching, Watching)
-                | (Watching, Watching | Fetching | Pausing)
-        )
-    }
-}
-
-/// A request to discovery.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Request {
-    /// The complete list, which a discovery that is neither slow nor silent returns at once.
-    CompleteList,
-    /// The changes after this version, as a long poll of [`LONG_POLL_SECONDS`].
-    ChangesSince(u64),
-}
-
 /// What the caller has to do next.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Step {
@@ -98,17 +55,6 @@
     pub closes_connection: bool,
 }
 
-/// What becomes of an answer.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Verdict {
-    /// The list is to be acted on.
-    Apply,
-    /// The list is older than the one that was acted on.
-    Superseded,
-    /// Discovery's versions have begun anew, and the list names only changes: the complete list is requested.
-    Incomplete,
-}
-
 /// What an answer shows, and what becomes of it.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct AnswerOutcome {
@@ -125,57 +71,6 @@
     }
 }
 
-/// An open call. Times are in seconds.
-#[derive(Clone, Copy, Debug)]
-struct Call {
-    id: CallId,
-    state: CallState,
-    /// Position of its last request, or of its beginning, among those of all calls.
-    order: u64,
-    /// When it began or its last request was sent.
-    requested_at: f64,
-    /// When a discovery that takes no time answers at the latest.
-    due_at: f64,
-    /// When part of an answer last arrived that is not complete yet.
-    received_at: Option<f64>,
-    was_answered: bool,
-}
-
-impl Call {
-    /// From when discovery's time for the answer, or for the rest of it, counts.
-    fn awaited_since(&self) -> f64 {
-        self.received_at.map_or(self.due_at, |received_at| received_at.max(self.due_at))
-    }
-
-    /// Whether discovery's time for the answer is over.
-    fn is_late(&self, now: f64) -> bool {
-        now >= self.awaited_since() + ANSWER_LIMIT_SECONDS
-    }
-
-    /// Whether the call has been kept for long enough.
-    fn has_expired(&self, now: f64) -> bool {
-        now >= self.awaited_since() + CALL_LIFETIME_SECONDS
-    }
-
-    /// Whether part of an answer has arrived lately.
-    fn is_receiving(&self, now: f64) -> bool {
-        self.received_at.is_some_and(|received_at| now < received_at + RESPONSE_GRACE_SECONDS)
-    }
-
-    /// Whether the call keeps up the watch: a long poll, or the pause before one.
-    fn is_watching(&self) -> bool {
-        matches!(self.state, CallState::Watching | CallState::Pausing)
-    }
-}
-
-/// The list that was last acted on.
-#[derive(Clone, Copy, Debug)]
-struct AppliedList {
-    version: u64,
-    /// Position of the last request that had been sent when the list was read.
-    read_after: u64,
-}
-
 /// The state of the watch on one discovery service. Times are in seconds, on any clock that does not go back.
 pub struct DiscoveryWatch {
     /// How long discovery may stay silent before the next call begins.
@@ -188,10 +83,7 @@
     last_order: u64,
     /// Order of the latest request that was answered.
     answered_order: u64,
-    applied: Option<AppliedList>,
-    /// Position of the last request that had been sent when discovery's versions began anew, if they did: answers up to it have
-    /// versions of the former count.
-    versions_began_after: u64,
+    lists: ListOrder,
     /// Whether a call has failed since the last answer. The next one then requests the complete list, as discovery may have
     /// restarted.
     has_failed: bool,
@@ -215,8 +107,7 @@
             calls_begun: 0,
             last_order: 0,
             answered_order: 0,
-            applied: None,
-            versions_began_after: 0,
+            lists: ListOrder::default(),
             has_failed: false,
             is_silent: false,
             response_time: ResponseTime::default(),
@@ -275,7 +166,7 @@
     /// Begins to watch another discovery service, whose versions need not continue those of the one before. Closes all calls.
     pub fn restart(&mut self, now: f64) {
         self.steps.extend(self.calls.drain(..).map(|call| Step::Close(call.id)));
-        self.applied = None;
+        self.lists = ListOrder::default();
         self.has_failed = false;
         self.is_silent = false;
         self.response_time = ResponseTime::default();
@@ -315,13 +206,14 @@
         let answered = *call;
         self.is_silent = false;
         self.has_failed = false;
-        let old_version = self.applied.map(|list| list.version);
-        let verdict = self.judge(&answered, answer);
+        let old_version = self.lists.version();
+        let AnswerHead { version, is_complete, closes_connection } = answer;
+        let verdict = self.lists.judge(version, is_complete, answered.order, self.last_order);
         // A discovery that answers long polls at once must not keep this router busy.
         let is_early = answered.state == CallState::Watching
             && now - answered.requested_at < LONG_POLL_SECONDS - RESPONSE_GRACE_SECONDS;
-        let pauses = is_early && verdict != Verdict::Incomplete && old_version == self.version();
-        self.continue_watch(&answered, answer.closes_connection, pauses, now);
+        let pauses = is_early && verdict != Verdict::Incomplete && old_version == self.lists.version();
+        self.continue_watch(&answered, closes_connection, pauses, now);
         self.close_lost_calls(now);
         AnswerOutcome { verdict, response_seconds: (now - answered.due_at).max(0.0) }
     }
@@ -386,15 +278,7 @@
         self.calls_begun += 1;
         let id = CallId(self.calls_begun);
         self.last_order += 1;
-        self.calls.push(Call {
-            id,
-            state: CallState::Connecting,
-            order: self.last_order,
-            requested_at: now,
-            due_at: now,
-            received_at: None,
-            was_answered: false,
-        });
+        self.calls.push(Call::new(id, self.last_order, now));
         self.steps.push_back(Step::Connect(id));
         self.wake_at = now + self.fetch_wait();
     }
@@ -432,8 +316,8 @@
     }
 
     fn next_request(&self) -> Request {
-        match self.applied {
-            Some(list) if !self.has_failed => Request::ChangesSince(list.version),
+        match self.lists.version() {
+            Some(version) if !self.has_failed => Request::ChangesSince(version),
             _ => Request::CompleteList,
         }
     }
@@ -464,33 +348,6 @@
         }
     }
 
-    /// Decides what becomes of an answer. A request that was sent before the list in use was read may be answered from
-    /// before that list. If a later one is answered with a lower version, discovery's versions have begun anew.
-    fn judge(&mut self, call: &Call, answer: AnswerHead) -> Verdict {
-        if call.order <= self.versions_began_after {
-            return Verdict::Superseded;
-        }
-        if let Some(list) = self.applied.filter(|list| answer.version < list.version) {
-            if call.order <= list.read_after {
-                return Verdict::Superseded;
-            }
-            self.versions_began_after = self.last_order;
-            if !answer.is_complete {
-                self.applied = None;
-                return Verdict::Incomplete;
-            }
-        }
-        let is_known = self.version() == Some(answer.version);
-        if !is_known {
-            self.applied = Some(AppliedList { version: answer.version, read_after: self.last_order });
-        }
-        Verdict::Apply
-    }
-
-    fn version(&self) -> Option<u64> {
-        self.applied.map(|list| list.version)
-    }
-
     /// Keeps up the watch after an answer: on the same connection, unless another call does so or it is closed.
     fn continue_watch(&mut self, answered: &Call, closes_connection: bool, pauses: bool, now: f64) {
         let index = self.index_of(answered.id);
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -21,8 +21,8 @@
 //!
 //! Some modules stand apart, for the caller: [`fair_queue`], the order in which it serves its sources of work and how much of each
 //! at a time; [`statement_ids`], which of two statements with one id is the first; [`executed_writes`], the ids that must not run
-//! again; [`discovery_watch`], when discovery is called and which of its answers are acted on, with its estimate of the
-//! [`response_time`].
+//! again; [`discovery_watch`], when discovery is called and which of its answers are acted on, with its parts
+//! `discovery_call`, `list_order` and [`response_time`].
 //!
 //! No two modules import each other: imports lead from `facade` and `router` down to `ids`, `clock`, `sampling`, `convert`
 //! and `interface`.
@@ -42,6 +42,7 @@
 mod consistency;
 mod convert;
 mod departure;
+mod discovery_call;
 pub mod discovery_watch;
 mod dispatch;
 mod eligibility;
@@ -53,6 +54,7 @@
 mod health_check;
 mod ids;
 pub mod interface;
+mod list_order;
 mod monitoring;
 mod outlier;
 mod primary;
