Allow the complete list to be requested again on a call that requested it

What operators would see: invariant_violations_total above 0; a debug build ends. It takes versions that begin anew and an older answer to a call for the list that comes while the list is requested again: the older answer is passed over, and the list is requested on its connection too.

Cause: CallState::may_become did not know that order of events.

Evidence: the_complete_list_is_requested_again_until_it_is_had (routing) failed on the commit before: "Fetching became Fetching".

Change: the transition is allowed.

--- a/crates/routing/src/discovery_call.rs
+++ b/crates/routing/src/discovery_call.rs
@@ -36,7 +36,7 @@
         matches!(
             (self, next),
             (Connecting | Pausing, Fetching | Watching)
-                | (Fetching, Watching)
+                | (Fetching, Watching | Fetching)
                 | (Watching, Watching | Fetching | Pausing)
         )
     }
