Draw any order of events on the calls to discovery

This property looks for others: 80 events at most on any of the open calls, with versions that go up and down, failures, restarts of the watch and descriptors that are needed elsewhere.

--- a/crates/routing/tests/discovery_watch.rs
+++ b/crates/routing/tests/discovery_watch.rs
@@ -436,6 +436,35 @@
     })
 }
 
+/// Something that happens to one of the open calls, or to the watch.
+#[derive(Clone, Copy, Debug)]
+enum Occurrence {
+    Connected,
+    Partial,
+    Answered(AnswerHead),
+    Failed,
+    Timer,
+    RoomNeeded,
+    Restart,
+}
+
+fn any_occurrence() -> impl Strategy<Value = (Occurrence, usize, f64)> {
+    let heads = (1_u64..6, any::<bool>(), any::<bool>());
+    let heads = heads.prop_map(|(version, is_complete, closes_connection)| {
+        Occurrence::Answered(AnswerHead { version, is_complete, closes_connection })
+    });
+    let occurrences = prop_oneof![
+        6 => Just(Occurrence::Connected),
+        2 => Just(Occurrence::Partial),
+        6 => heads,
+        2 => Just(Occurrence::Failed),
+        4 => Just(Occurrence::Timer),
+        1 => Just(Occurrence::RoomNeeded),
+        1 => Just(Occurrence::Restart),
+    ];
+    (occurrences, any::<usize>(), 0.0..3.0)
+}
+
 proptest! {
     #![proptest_config(ProptestConfig { cases: 600, failure_persistence: None, ..ProptestConfig::default() })]
 
@@ -456,6 +485,48 @@
         prop_assert_eq!(simulation.watch.invariant_violations(), 0);
     }
 
+    /// Whatever happens to calls, in any order, the watch goes on: it has a call or a time to begin one, and changes the states of
+    /// calls only as allowed.
+    #[test]
+    fn any_order_of_events_is_handled(occurrences in prop::collection::vec(any_occurrence(), 1..80)) {
+        let mut watch = DiscoveryWatch::new(DRAIN_GRACE);
+        // Open calls, and whether a request was sent on them.
+        let mut open: BTreeMap<CallId, bool> = BTreeMap::new();
+        let mut now = 0.0;
+        watch.start(now);
+        for (occurrence, choice, delay) in occurrences {
+            while let Some(step) = watch.poll_step() {
+                match step {
+                    Step::Connect(id) => drop(open.insert(id, false)),
+                    Step::Send(id, _) => drop(open.insert(id, true)),
+                    Step::Close(id) => drop(open.remove(&id)),
+                }
+            }
+            prop_assert_eq!(open.len(), watch.open_calls());
+            prop_assert!(open.len() <= MAX_OPEN_CALLS && watch.wake_at().is_finite());
+            now += delay;
+            let nth = |requested: Option<bool>| {
+                let ids = open.iter().filter(|(_, sent)| requested.is_none_or(|requested| requested == **sent));
+                let ids: Vec<CallId> = ids.map(|(id, _)| *id).collect();
+                (!ids.is_empty()).then(|| ids[choice % ids.len()])
+            };
+            match occurrence {
+                Occurrence::Connected => nth(Some(false)).into_iter().for_each(|id| watch.on_connected(id, now)),
+                Occurrence::Partial => nth(Some(true)).into_iter().for_each(|id| watch.on_partial_answer(id, now)),
+                Occurrence::Answered(head) => {
+                    if let Some(id) = nth(Some(true)) {
+                        watch.on_answer(id, head, now);
+                    }
+                }
+                Occurrence::Failed => nth(None).into_iter().for_each(|id| watch.on_failed(id, now)),
+                Occurrence::Timer => drop(watch.on_timer(now)),
+                Occurrence::RoomNeeded => drop(watch.close_spare_call()),
+                Occurrence::Restart => watch.restart(now),
+            }
+        }
+        prop_assert_eq!(watch.invariant_violations(), 0);
+    }
+
     /// Where discovery works on calls side by side, each change is still known in time with few descriptors, down to the reserved
     /// ones alone.
     #[test]
