--- a/crates/ottersill/tests/slow_discovery_soak.rs
+++ b/crates/ottersill/tests/slow_discovery_soak.rs
@@ -289,16 +289,19 @@
     assert!(outcome.is_ok(), "{outcome:?}");
 }
 
-/// The same for the other delays that were measured, and with a new version every 150 ms.
+/// The same for the other delays that were measured, alone and with a new version every 150 ms.
 #[rstest]
 #[case::a_fifth(200)]
 #[case::within_the_grace_of_a_long_poll(900)]
 #[case::near_the_former_limit(1300)]
 #[case::beyond_the_former_limit(1600)]
 #[case::review(1800)]
-fn changes_among_many_versions_are_known_in_time(#[case] delay_ms: u64) {
+fn changes_are_known_in_time_with_and_without_new_versions(
+    #[case] delay_ms: u64,
+    #[values(false, true)] has_new_versions: bool,
+) {
     let scenario = Scenario::new(AnswerDelay::fixed(milliseconds(delay_ms)), SlowFrom::Service);
-    let outcome = play(&Scenario { has_new_versions: true, ..scenario });
+    let outcome = play(&Scenario { has_new_versions, ..scenario });
     assert!(outcome.is_ok(), "{outcome:?}");
 }
 
