--- a/crates/routing/tests/discovery_watch.rs
+++ b/crates/routing/tests/discovery_watch.rs
@@ -328,6 +328,19 @@
     assert!(simulation.watch.expected_response_seconds() < RESPONSE_GRACE);
 }
 
+/// Returns a watch with two open calls, each with its request in flight: the older one, and the one that followed it.
+fn watch_with_two_calls() -> (DiscoveryWatch, CallId, CallId) {
+    let mut watch = DiscoveryWatch::new(DRAIN_GRACE);
+    watch.start(0.0);
+    let Some(Step::Connect(older)) = watch.poll_step() else { panic!("no connection") };
+    watch.on_connected(older, 0.0);
+    watch.on_timer(0.125);
+    let steps: Vec<Step> = std::iter::from_fn(|| watch.poll_step()).collect();
+    let Some(Step::Connect(newer)) = steps.last().copied() else { panic!("no second call: {steps:?}") };
+    watch.on_connected(newer, 0.125);
+    (watch, older, newer)
+}
+
 /// Guards against the list of an older call that undoes a newer one, and against one that is never accepted again after a restart
 /// of discovery. Versions are those of the list in use, of the answer to a call sent before that was read, and of one sent after.
 #[rstest]
@@ -344,14 +357,7 @@
     #[case] is_complete: bool,
     #[case] expected: Verdict,
 ) {
-    let mut watch = DiscoveryWatch::new(DRAIN_GRACE);
-    watch.start(0.0);
-    let Some(Step::Connect(first)) = watch.poll_step() else { panic!("no connection") };
-    watch.on_connected(first, 0.0);
-    watch.on_timer(0.125);
-    let steps: Vec<Step> = std::iter::from_fn(|| watch.poll_step()).collect();
-    let Some(Step::Connect(second)) = steps.last().copied() else { panic!("no second call: {steps:?}") };
-    watch.on_connected(second, 0.125);
+    let (mut watch, first, second) = watch_with_two_calls();
     let head = |version, is_complete| AnswerHead { version, is_complete, closes_connection: false };
     watch.on_answer(second, head(4, true), 0.5);
     let judged = if sent_before { first } else { second };
@@ -362,14 +368,7 @@
 /// higher, but the list is older.
 #[test]
 fn an_answer_from_before_versions_began_anew_is_passed_over() {
-    let mut watch = DiscoveryWatch::new(DRAIN_GRACE);
-    watch.start(0.0);
-    let Some(Step::Connect(oldest)) = watch.poll_step() else { panic!("no connection") };
-    watch.on_connected(oldest, 0.0);
-    watch.on_timer(0.125);
-    let steps: Vec<Step> = std::iter::from_fn(|| watch.poll_step()).collect();
-    let Some(Step::Connect(newest)) = steps.last().copied() else { panic!("no second call: {steps:?}") };
-    watch.on_connected(newest, 0.125);
+    let (mut watch, oldest, newest) = watch_with_two_calls();
     let head = |version| AnswerHead { version, is_complete: true, closes_connection: false };
     assert_eq!(watch.on_answer(newest, head(40), 0.5).verdict, Verdict::Apply);
     assert_eq!(watch.on_answer(newest, head(3), 0.6).verdict, Verdict::Apply);
@@ -380,14 +379,7 @@
 /// older answer to a call for the list is passed over.
 #[test]
 fn the_complete_list_is_requested_again_until_it_is_had() {
-    let mut watch = DiscoveryWatch::new(DRAIN_GRACE);
-    watch.start(0.0);
-    let Some(Step::Connect(oldest)) = watch.poll_step() else { panic!("no connection") };
-    watch.on_connected(oldest, 0.0);
-    watch.on_timer(0.125);
-    let steps: Vec<Step> = std::iter::from_fn(|| watch.poll_step()).collect();
-    let Some(Step::Connect(newest)) = steps.last().copied() else { panic!("no second call: {steps:?}") };
-    watch.on_connected(newest, 0.125);
+    let (mut watch, oldest, newest) = watch_with_two_calls();
     let head = |version, is_complete| AnswerHead { version, is_complete, closes_connection: false };
     watch.on_answer(newest, head(40, true), 0.5);
     assert_eq!(watch.on_answer(newest, head(3, false), 0.6).verdict, Verdict::Incomplete);
