Keep proxied connections of tests open when the test process is resumed

Every backend connection broke at each resume. Cause: a read with a timeout ends with EINTR when the process is resumed, and the proxy of the tests took that for the end of the connection. The program was not at fault. Change: the proxy reads on, as the floods' client does.

--- a/crates/testkit/src/fault_proxy/stream.rs
+++ b/crates/testkit/src/fault_proxy/stream.rs
@@ -158,7 +158,7 @@
                 }
                 to.write_all(&buffer[..length])?;
             }
-            Err(error) if matches!(error.kind(), ErrorKind::WouldBlock | ErrorKind::TimedOut) => {}
+            Err(error) if is_temporary(&error) => {}
             Err(error) => return Err(error),
         }
     }
@@ -170,3 +170,8 @@
         if faults.trickle { faults.delay_seconds.max(TRICKLE_DELAY_SECONDS) } else { faults.delay_seconds };
     thread::sleep(Duration::from_secs_f64(seconds));
 }
+
+/// Whether a read found nothing for now. A read with a timeout also ends when the process is resumed after a stop.
+fn is_temporary(error: &io::Error) -> bool {
+    matches!(error.kind(), ErrorKind::WouldBlock | ErrorKind::TimedOut | ErrorKind::Interrupted)
+}
