Leave the time limit of health checks as it is when one is not sent

Cause: a health check that is not sent ends at once with NeverSent; the time limit of the endpoint took that for an answer within the usual time and began anew. Change: NeverSent changes neither the count of timeouts nor the estimate.

--- a/crates/routing/src/health_check.rs
+++ b/crates/routing/src/health_check.rs
@@ -57,9 +57,11 @@
     }
 
     /// Records the end of a check that took `elapsed` seconds. Only a check that was sent and not answered is repeated with a
-    /// longer limit: an endpoint to which no connection comes up would not be heard for that.
+    /// longer limit: an endpoint to which no connection comes up would not be heard for that. A check that was not sent tells
+    /// nothing about the endpoint.
     fn record(&mut self, outcome: AttemptOutcome, elapsed: f64) {
         match outcome {
+            AttemptOutcome::NeverSent => {}
             AttemptOutcome::TimedOut => self.timeouts = (self.timeouts + 1).min(MAX_DOUBLINGS),
             AttemptOutcome::ConnectFailed | AttemptOutcome::Reset => self.timeouts = 0,
             _ if elapsed <= self.usual => {
--- a/crates/routing/tests/decisions/health_checks.rs
+++ b/crates/routing/tests/decisions/health_checks.rs
@@ -126,3 +126,17 @@
     check_that_takes(&mut simulation, 0.1, outcome);
     assert_eq!(check_that_takes(&mut simulation, 0.1, outcome), USUAL_LIMIT);
 }
+
+/// Guards against an endpoint with slow health checks that is never heard where some of them are not sent, for instance because the
+/// fleet's budget has none left: a check that took no time was recorded as a quick answer, and the limit began anew.
+#[test]
+fn a_health_check_that_was_not_sent_leaves_the_time_limit_as_it_is() {
+    let mut simulation = Simulation::new(config(true));
+    for limit in [0.25, 0.5, 1.0] {
+        assert_eq!(check_that_takes(&mut simulation, 1.5, AttemptOutcome::Completed), limit);
+        check_that_takes(&mut simulation, 0.0, AttemptOutcome::NeverSent);
+    }
+    assert_eq!(check_that_takes(&mut simulation, 1.5, AttemptOutcome::Completed), 2.0);
+    check_that_takes(&mut simulation, 0.0, AttemptOutcome::NeverSent);
+    assert!(check_that_takes(&mut simulation, 1.5, AttemptOutcome::Completed) >= 1.5);
+}
