Print what a cluster of the tests looks like when a wait times out

The output did not tell whether the routers had no quota, no endpoint, or no processor time. Change: the wait prints how often it checked and at most how far apart, the processor time that the host took away, and for each router its answers, quotas, counters and the end of its log. No check is changed; two messages have the same.

--- a/crates/ottersill/tests/fleet.rs
+++ b/crates/ottersill/tests/fleet.rs
@@ -48,7 +48,7 @@
     sleep(4.5);
     let answers = cluster.stop_load();
     for (index, answered) in answers.iter().enumerate() {
-        assert!(answered.completed > 100, "router {index}: {answered:?}\n{}", cluster.log(index));
+        assert!(answered.completed > 100, "router {index}: {answered:?}\n{}", cluster.describe());
         assert_eq!((answered.malformed, answered.connections_broken), (0, 0), "{answered:?}");
     }
     let most: Vec<usize> = (0..3).map(|endpoint| cluster.store.peak_concurrency(endpoint)).collect();
@@ -127,7 +127,7 @@
     }
     // 40 at each of 3 endpoints; of each 40, 8 are reserved for floors, of which the router holds one.
     println!("the busy router holds {units:?} of 99 units; with static quotas it would hold 30");
-    assert!(units.iter().all(|units| *units >= 66), "{units:?} of 99");
+    assert!(units.iter().all(|units| *units >= 66), "{units:?} of 99\n{}", cluster.describe());
     cluster.stop_load();
     assert_audit_is_clean(&cluster);
 }
--- a/crates/testkit/src/cluster/harness.rs
+++ b/crates/testkit/src/cluster/harness.rs
@@ -10,6 +10,7 @@
 use crate::fault_proxy::{LinkFaults, StreamFaults};
 use crate::stand_in::StandInStore;
 
+use super::diagnostics::WaitObserver;
 use super::load::{Answers, LoadGenerator};
 use super::network::Network;
 use super::plan::ClusterPlan;
@@ -174,15 +175,19 @@
         self.load.take().map_or(Vec::new(), LoadGenerator::stop)
     }
 
-    /// Waits until the condition holds; returns false if it does not hold within the timeout.
+    /// Waits until the condition holds; returns false if it does not hold within the timeout, and prints what the cluster looks
+    /// like then.
     pub fn wait_until(&self, condition: impl Fn(&Cluster) -> bool) -> bool {
         let started = Instant::now();
+        let mut observer = WaitObserver::start();
         while started.elapsed() < WAIT_TIMEOUT {
+            observer.record_check();
             if condition(self) {
                 return true;
             }
             thread::sleep(CHECK_INTERVAL);
         }
+        println!("{}", self.describe_timeout(&observer));
         false
     }
 
--- a/crates/testkit/src/cluster/mod.rs
+++ b/crates/testkit/src/cluster/mod.rs
@@ -10,6 +10,7 @@
 //! - [`Answers`]: counts of the answers to clients
 
 mod control_client;
+mod diagnostics;
 mod error;
 pub mod fault_schedule;
 mod files;
