Know requests for quota until their replies arrive, however many there are

A router of a fleet with a budget for each of 3,200 endpoints never gets the quota of 286 of them where the leader's replies take 0.16 s, and sends these endpoints nothing. Cause: it kept the time of sending of its last 256 requests. It sends one request for each 24 budgets, 134 at a time and 20 times in a lease while it lacks quota; the requests were forgotten while their replies were on their way, and the replies were ignored as unknown. Evidence: grants_for_thousands_of_endpoints_are_applied_however_long_they_take::case_2_slow failed before the fix (286 of 3,200 without quota; the simulation is deterministic), case_1_quick passed. Change: the requests of one time are remembered as one batch, 256 of them, which is more than ten leases. Replies are applied by the same rules as before; a lease still counts from when its request was sent.

--- a/crates/fleet/src/node/quota_client.rs
+++ b/crates/fleet/src/node/quota_client.rs
@@ -1,6 +1,7 @@
 //! Requests units from the leader and stores the leases that it grants.
 
 use std::collections::{BTreeMap, VecDeque};
+use std::ops::RangeInclusive;
 
 use super::{Counters, Event};
 use crate::election::Ballot;
@@ -18,8 +19,8 @@
 const CONFIRMATION_DELAY_DIVISOR: f64 = 40.0;
 /// Budgets in one request, which keeps them below 1,400 bytes.
 const BUDGETS_PER_REQUEST: usize = 24;
-/// Requests whose time of sending is kept. Replies to older requests are ignored.
-const MAX_REMEMBERED_REQUESTS: usize = 256;
+/// Batches of requests whose time of sending is kept; urgent ones of more than ten leases. Replies to older requests are ignored.
+const MAX_REMEMBERED_BATCHES: usize = 256;
 /// Largest number of budget keys that a router keeps a quota of.
 const MAX_QUOTAS: usize = 4096;
 
@@ -32,8 +33,8 @@
     /// Position in the round robin over the voters, which receive the requests while no leader is known.
     voter_rotation: usize,
     last_request_id: u64,
-    /// The last requests, oldest first.
-    sent_requests: VecDeque<SentRequest>,
+    /// The last batches of requests, oldest first.
+    sent_batches: VecDeque<SentBatch>,
     /// When the oldest request without an answer was sent.
     unanswered_since: Option<f64>,
     /// When the next request is due.
@@ -42,6 +43,13 @@
     last_request_at: f64,
 }
 
+/// Requests that were sent at the same time, which together name all budgets. The number of requests grows with that of the
+/// budgets, so they are remembered as one: each has to be known until its reply arrives.
+struct SentBatch {
+    request_ids: RangeInclusive<u64>,
+    sent_at: f64,
+}
+
 /// Requests to be sent to one member.
 pub(super) struct RequestBatch {
     pub(super) to: String,
@@ -56,7 +64,7 @@
             term: Ballot::default(),
             voter_rotation: (seed % 64) as usize,
             last_request_id: 0,
-            sent_requests: VecDeque::new(),
+            sent_batches: VecDeque::new(),
             unanswered_since: None,
             next_request_at: now,
             last_request_at: f64::NEG_INFINITY,
@@ -144,8 +152,10 @@
         self.quotas.retain(|key, quota| key.subject == 0 || !quota.is_idle(now));
         let has_unmet_demand = self.quotas.values().any(LocalQuota::has_unmet_demand);
         let budgets = self.budget_requests(now);
+        let first_request_id = self.last_request_id + 1;
         let chunks = budgets.chunks(BUDGETS_PER_REQUEST);
-        let requests = chunks.map(|chunk| self.request(now, shared_settings_hash, chunk)).collect();
+        let requests = chunks.map(|chunk| self.request(shared_settings_hash, chunk)).collect();
+        self.remember_batch(SentBatch { request_ids: first_request_id..=self.last_request_id, sent_at: now });
         self.unanswered_since.get_or_insert(now);
         self.last_request_at = now;
         let is_urgent = has_unmet_demand || self.leader.is_none();
@@ -184,12 +194,8 @@
         self.quotas.iter_mut().map(request).collect()
     }
 
-    fn request(&mut self, now: f64, shared_settings_hash: u64, budgets: &[BudgetRequest]) -> QuotaRequest {
+    fn request(&mut self, shared_settings_hash: u64, budgets: &[BudgetRequest]) -> QuotaRequest {
         self.last_request_id += 1;
-        if self.sent_requests.len() >= MAX_REMEMBERED_REQUESTS {
-            self.sent_requests.pop_front();
-        }
-        self.sent_requests.push_back(SentRequest { id: self.last_request_id, sent_at: now });
         QuotaRequest {
             request_id: self.last_request_id,
             newest_known_term: self.term,
@@ -199,8 +205,16 @@
         }
     }
 
+    fn remember_batch(&mut self, batch: SentBatch) {
+        if self.sent_batches.len() >= MAX_REMEMBERED_BATCHES {
+            self.sent_batches.pop_front();
+        }
+        self.sent_batches.push_back(batch);
+    }
+
     fn find_sent_request(&self, request_id: u64) -> Option<SentRequest> {
-        self.sent_requests.iter().find(|sent| sent.id == request_id).copied()
+        let batch = self.sent_batches.iter().find(|batch| batch.request_ids.contains(&request_id))?;
+        Some(SentRequest { id: request_id, sent_at: batch.sent_at })
     }
 
     /// Handles a leader's reply.
@@ -280,7 +294,7 @@
         for quota in self.quotas.values_mut() {
             quota.drop_leases(now, self.last_request_id);
         }
-        self.sent_requests.clear();
+        self.sent_batches.clear();
         self.unanswered_since = None;
         self.next_request_at = now;
     }
--- a/crates/fleet/tests/faults.rs
+++ b/crates/fleet/tests/faults.rs
@@ -3,10 +3,10 @@
 mod simulation;
 
 use ottersill_fleet::node::FleetNode;
-use ottersill_fleet::quota_ledger::Pools;
+use ottersill_fleet::quota_ledger::{BudgetKey, Pools};
 use ottersill_fleet::settings::BudgetTotal;
 use rstest::rstest;
-use simulation::{Simulation, run_with_random_faults, seed_count};
+use simulation::{LinkFaults, Simulation, run_with_random_faults, seed_count};
 
 #[rstest]
 #[case::five_members_with_three_voters(5, 3, 40, 1, 10_000)]
@@ -247,6 +247,31 @@
     assert_eq!(receiver.counters().outdated, 2);
 }
 
+/// Guards against quotas that a router never gets: where it has those of thousands of endpoints, it forgot its requests while the
+/// leader's replies were on their way, ignored these and asked the same again.
+#[rstest]
+#[case::quick(0.0)]
+#[case::slow(0.08)]
+fn grants_for_thousands_of_endpoints_are_applied_however_long_they_take(#[case] fixed_delay_seconds: f64) {
+    const ENDPOINTS: u64 = 3_200;
+    let mut simulation = idle_simulation(3, 3, 30, 0);
+    simulation.link_faults = LinkFaults { fixed_delay_seconds, ..LinkFaults::default() };
+    let leader = simulation.leader().expect("no member is leader");
+    let router = (leader + 1) % 3;
+    let budget = simulation.nodes[router].key(1).budget;
+    let keys: Vec<BudgetKey> = (1..=ENDPOINTS).map(|subject| BudgetKey { budget, subject }).collect();
+    simulation.run(14.0, |simulation| {
+        let now = simulation.clock(router);
+        let fleet = simulation.nodes[router].fleet.as_mut().expect("member is not running");
+        keys.iter().for_each(|key| fleet.record_waiting(now, *key, 1));
+    });
+    let now = simulation.clock(router);
+    let fleet = simulation.nodes[router].fleet.as_ref().expect("member is not running");
+    let without_quota = keys.iter().filter(|key| fleet.spendable(now, **key) == 0).count();
+    assert_eq!(without_quota, 0, "of {ENDPOINTS} endpoints");
+    assert!(simulation.violations.is_empty());
+}
+
 /// One of five members has 80% of the demand, then another. Measures the fraction of the total that is leased to
 /// members with demand for it.
 #[test]
--- a/crates/fleet/tests/incarnations.rs
+++ b/crates/fleet/tests/incarnations.rs
@@ -106,6 +106,7 @@
             loss_probability: 0.0,
             duplicate_probability: 0.0,
             delay_seconds: 0.002,
+            ..simulation::LinkFaults::default()
         };
         for node in 0..5 {
             match simulation.nodes[node].fleet.is_some() {
--- a/crates/fleet/tests/simulation/mod.rs
+++ b/crates/fleet/tests/simulation/mod.rs
@@ -114,6 +114,8 @@
     pub duplicate_probability: f64,
     /// Mean delay of a datagram in seconds; one in twenty takes thirty times as long.
     pub delay_seconds: f64,
+    /// Delay that each datagram has beyond that, in seconds.
+    pub fixed_delay_seconds: f64,
 }
 
 pub struct Simulation {
@@ -171,6 +173,7 @@
                 loss_probability: 0.0,
                 duplicate_probability: 0.0,
                 delay_seconds: 0.002,
+                ..LinkFaults::default()
             },
             cut,
             scheduled: BinaryHeap::new(),
@@ -292,7 +295,8 @@
                     continue;
                 }
                 let delay_factor = if self.rng.random_bool(0.05) { 30.0 } else { 1.0 };
-                let delay = self.link_faults.delay_seconds * delay_factor * self.rng.random_range(0.1..2.0);
+                let jitter = self.link_faults.delay_seconds * delay_factor * self.rng.random_range(0.1..2.0);
+                let delay = self.link_faults.fixed_delay_seconds + jitter;
                 self.schedule(self.time + delay, Action::DatagramArrives(to, datagram.bytes.clone()));
             }
         }
@@ -471,6 +475,7 @@
         loss_probability: simulation.rng.random_range(0.0..0.2),
         duplicate_probability: simulation.rng.random_range(0.0..0.2),
         delay_seconds: simulation.rng.random_range(0.001..0.03),
+        ..LinkFaults::default()
     };
     simulation.start_all();
     // Between about three faults per second and one in several seconds.
