Hear voters whose answers take longer than a quarter of the leader's lease

A fleet whose round trips take more than 2/9 of keeper_lease_s has a leader at times and never any quota, from a quarter on no leader; its routers reject. Cause: a candidate gave its ballot up after a quarter of the lease, ignored what voters answered to it, and asked the same under a new one. A leader renewed its lease a third of it after the grant had arrived, too late for the two round trips of a renewal. Change: a request that nobody has refused is repeated under its ballot, and answers to all repeats count until the lease would have ended; a renewal is due a third after the lease began. The lease still counts from the first request, and a voter's grant in force still keeps other candidates out.

--- a/crates/fleet/src/election.rs
+++ b/crates/fleet/src/election.rs
@@ -144,17 +144,43 @@
     }
 }
 
+/// One request to all voters, until a majority of them has agreed to it.
+#[derive(Clone, Copy, Debug, PartialEq)]
+struct Attempt {
+    ballot: Ballot,
+    /// When the request was first sent. A lease begins then.
+    sent_at: f64,
+    /// When the request is repeated or given up.
+    deadline: f64,
+    /// The voters that have agreed.
+    agreed: VoterSet,
+    /// Whether a voter has promised a higher ballot, or has granted the lease to another candidate.
+    is_refused: bool,
+}
+
+impl Attempt {
+    fn start(now: f64, ballot: Ballot, answer_timeout: f64) -> Attempt {
+        let deadline = now + answer_timeout;
+        Attempt { ballot, sent_at: now, deadline, agreed: VoterSet::default(), is_refused: false }
+    }
+
+    fn agreed_by(self, voter_index: u16) -> Attempt {
+        Attempt { agreed: self.agreed.with(voter_index), ..self }
+    }
+}
+
 #[derive(Clone, Copy, Debug, PartialEq)]
 enum CandidateState {
     /// Idle until the next attempt.
     Waiting { next_attempt_at: f64 },
-    /// Collecting promises until `deadline`.
-    Preparing { ballot: Ballot, deadline: f64, promised: VoterSet },
-    /// Collecting grants until `deadline`. The lease begins at `sent_at`, when they were requested.
-    Accepting { ballot: Ballot, sent_at: f64, deadline: f64, granted: VoterSet },
+    /// Collecting promises.
+    Preparing(Attempt),
+    /// Collecting grants.
+    Accepting(Attempt),
 }
 
-/// Time that a candidate waits for the voters' answers to one request, as a fraction of its lease.
+/// Time after which a candidate repeats a request that has neither a majority nor a refusal, as a fraction of its lease. Answers to
+/// the earlier request count all the same: they may take longer than this.
 const ANSWER_TIMEOUT_LEASE_FRACTION: f64 = 0.25;
 /// Times that a leader attempts to renew its lease in the course of one lease.
 const RENEWALS_PER_LEASE: f64 = 3.0;
@@ -215,9 +241,7 @@
     pub fn next_timeout(&self) -> f64 {
         match self.state {
             CandidateState::Waiting { next_attempt_at } => next_attempt_at,
-            CandidateState::Preparing { deadline, .. } | CandidateState::Accepting { deadline, .. } => {
-                deadline
-            }
+            CandidateState::Preparing(attempt) | CandidateState::Accepting(attempt) => attempt.deadline,
         }
     }
 
@@ -234,22 +258,49 @@
             * (MIN_RETRY_DELAY_LEASE_FRACTION + RETRY_DELAY_STEP_LEASE_FRACTION * units_to_f64(step))
     }
 
+    fn answer_timeout(&self) -> f64 {
+        self.holder_lease * ANSWER_TIMEOUT_LEASE_FRACTION
+    }
+
     /// Stands for election when an attempt is due; a leader does so well before its lease expires. `other_leader_known`
     /// says that another member is known to be leader. Returns the request to send to all voters, if any.
     pub fn tick(&mut self, now: f64, other_leader_known: bool) -> Option<CandidateRequest> {
         if now < self.next_timeout() {
             return None;
         }
-        let waiting = matches!(self.state, CandidateState::Waiting { .. });
-        if waiting && (!other_leader_known || self.term(now).is_some()) {
-            self.highest_round += 1;
-            let ballot = Ballot { round: self.highest_round, ..self.base_ballot };
-            let deadline = now + self.holder_lease * ANSWER_TIMEOUT_LEASE_FRACTION;
-            self.transition(CandidateState::Preparing { ballot, deadline, promised: VoterSet::default() });
-            return Some(CandidateRequest::Prepare(ballot));
+        let may_stand = !other_leader_known || self.term(now).is_some();
+        match self.state {
+            CandidateState::Waiting { .. } if may_stand => Some(self.prepare(now)),
+            CandidateState::Preparing(attempt) if may_stand && self.may_repeat(now, attempt) => {
+                self.transition(CandidateState::Preparing(self.repeated(now, attempt)));
+                Some(CandidateRequest::Prepare(attempt.ballot))
+            }
+            CandidateState::Accepting(attempt) if self.may_repeat(now, attempt) => {
+                self.transition(CandidateState::Accepting(self.repeated(now, attempt)));
+                Some(CandidateRequest::Accept(attempt.ballot))
+            }
+            _ => {
+                self.transition(CandidateState::Waiting { next_attempt_at: now + self.retry_delay() });
+                None
+            }
         }
-        self.transition(CandidateState::Waiting { next_attempt_at: now + self.retry_delay() });
-        None
+    }
+
+    /// Begins an attempt with a ballot higher than all that were seen.
+    fn prepare(&mut self, now: f64) -> CandidateRequest {
+        self.highest_round += 1;
+        let ballot = Ballot { round: self.highest_round, ..self.base_ballot };
+        self.transition(CandidateState::Preparing(Attempt::start(now, ballot, self.answer_timeout())));
+        CandidateRequest::Prepare(ballot)
+    }
+
+    /// Whether the answers to a request may still come to a majority that is worth having: a lease counts from the first request.
+    fn may_repeat(&self, now: f64, attempt: Attempt) -> bool {
+        !attempt.is_refused && now < attempt.sent_at + self.holder_lease
+    }
+
+    fn repeated(&self, now: f64, attempt: Attempt) -> Attempt {
+        Attempt { deadline: now + self.answer_timeout(), ..attempt }
     }
 
     /// Handles a voter's reply to a request with `ballot`. Returns the next request to send to all voters, if any.
@@ -264,57 +315,60 @@
             self.highest_round = self.highest_round.max(higher.round);
         }
         match (self.state, reply) {
-            (
-                CandidateState::Preparing { ballot: own, deadline, promised },
-                VoterReply::Promised { held: false },
-            ) if own == ballot && now < deadline => {
-                self.handle_promise(now, ballot, deadline, promised.with(voter_index))
-            }
-            (CandidateState::Accepting { ballot: own, sent_at, deadline, granted }, VoterReply::Granted)
-                if own == ballot =>
+            (CandidateState::Preparing(attempt), VoterReply::Promised { held: false })
+                if attempt.ballot == ballot && now < attempt.sent_at + self.holder_lease =>
             {
-                self.handle_grant(now, ballot, (sent_at, deadline), granted.with(voter_index));
+                self.handle_promise(now, attempt.agreed_by(voter_index))
+            }
+            (CandidateState::Accepting(attempt), VoterReply::Granted) if attempt.ballot == ballot => {
+                self.handle_grant(now, attempt.agreed_by(voter_index));
+                None
+            }
+            (_, VoterReply::Preempted(_) | VoterReply::Promised { held: true }) => {
+                self.handle_refusal(ballot);
                 None
             }
             _ => None,
         }
     }
 
-    fn handle_promise(
-        &mut self,
-        now: f64,
-        ballot: Ballot,
-        deadline: f64,
-        promised: VoterSet,
-    ) -> Option<CandidateRequest> {
-        if !promised.is_majority_of(self.voter_count) {
-            self.transition(CandidateState::Preparing { ballot, deadline, promised });
+    fn handle_promise(&mut self, now: f64, attempt: Attempt) -> Option<CandidateRequest> {
+        if !attempt.agreed.is_majority_of(self.voter_count) {
+            self.transition(CandidateState::Preparing(attempt));
             return None;
         }
-        let grant_deadline = now + self.holder_lease * ANSWER_TIMEOUT_LEASE_FRACTION;
-        let granted = VoterSet::default();
-        self.transition(CandidateState::Accepting {
-            ballot,
-            sent_at: now,
-            deadline: grant_deadline,
-            granted,
-        });
-        Some(CandidateRequest::Accept(ballot))
+        let next = Attempt::start(now, attempt.ballot, self.answer_timeout());
+        self.transition(CandidateState::Accepting(next));
+        Some(CandidateRequest::Accept(attempt.ballot))
     }
 
-    fn handle_grant(&mut self, now: f64, ballot: Ballot, (sent_at, deadline): (f64, f64), granted: VoterSet) {
-        if !granted.is_majority_of(self.voter_count) {
-            self.transition(CandidateState::Accepting { ballot, sent_at, deadline, granted });
+    fn handle_grant(&mut self, now: f64, attempt: Attempt) {
+        if !attempt.agreed.is_majority_of(self.voter_count) {
+            self.transition(CandidateState::Accepting(attempt));
             return;
         }
         // A lapsed term is not resumed, because another candidate may have been leader since.
         if self.term(now).is_none() {
-            self.term = ballot;
+            self.term = attempt.ballot;
+        }
+        self.leader_until = self.leader_until.max(attempt.sent_at + self.holder_lease);
+        // Counted from when the lease began: the longer the voters take, the less of it is left to renew it.
+        let renew_at = attempt.sent_at + self.holder_lease / RENEWALS_PER_LEASE;
+        self.transition(CandidateState::Waiting { next_attempt_at: renew_at.max(now) });
+    }
+
+    /// Handles a voter's refusal of a request with `ballot`, which is not repeated after that.
+    fn handle_refusal(&mut self, ballot: Ballot) {
+        let refused = |attempt: Attempt| Attempt { is_refused: true, ..attempt };
+        match self.state {
+            CandidateState::Preparing(attempt) if attempt.ballot == ballot => {
+                self.transition(CandidateState::Preparing(refused(attempt)));
+            }
+            CandidateState::Accepting(attempt) if attempt.ballot == ballot => {
+                self.transition(CandidateState::Accepting(refused(attempt)));
+            }
+            _ => {}
         }
-        self.leader_until = self.leader_until.max(sent_at + self.holder_lease);
-        self.transition(CandidateState::Waiting {
-            next_attempt_at: now + self.holder_lease / RENEWALS_PER_LEASE,
-        });
     }
 
     /// Handles that a member has seen a term later than any of this candidate's, which happens because restarted voters
--- a/crates/fleet/tests/faults.rs
+++ b/crates/fleet/tests/faults.rs
@@ -247,6 +247,32 @@
     assert_eq!(receiver.counters().outdated, 2);
 }
 
+/// Guards against a fleet that never has a leader, or one that never grants anything: voters' answers that took longer than a quarter
+/// of the leader's lease were ignored, and the same asked again; a leader that renews its lease too late begins a new term each time.
+#[rstest]
+#[case::quick(0.0)]
+#[case::slow(0.09)]
+#[case::three_round_trips_in_a_lease(0.12)]
+fn a_fleet_grants_quota_as_long_as_three_round_trips_fit_into_the_leader_lease(
+    #[case] fixed_delay_seconds: f64,
+) {
+    let mut simulation = Simulation::new(7, 3, 3, 30, 1);
+    simulation.nodes.iter_mut().for_each(|node| node.offered_rate = 20.0);
+    assert!(3.0 * 2.0 * fixed_delay_seconds < simulation.nodes[0].config.leader_lease_seconds);
+    simulation.link_faults = LinkFaults { fixed_delay_seconds, ..LinkFaults::default() };
+    simulation.start_all();
+    simulation.run(15.0, |_| {});
+    let (mut checks, mut without_leader, mut lowest_sum) = (0, 0, u64::MAX);
+    simulation.run(45.0, |simulation| {
+        checks += 1;
+        without_leader += u32::from(simulation.leader().is_none());
+        lowest_sum = lowest_sum.min(simulation.sum_over_members(0));
+    });
+    assert_eq!(without_leader, 0, "of {checks} checks");
+    assert!(lowest_sum >= 25, "{lowest_sum} of 30");
+    assert!(simulation.violations.is_empty());
+}
+
 /// Guards against quotas that a router never gets: where it has those of thousands of endpoints, it forgot its requests while the
 /// leader's replies were on their way, ignored these and asked the same again.
 #[rstest]
