Hold ids in the order in which statements arrived, not in which connections are reported

What callers saw: a write is refused with 08P01 and a later copy of it by another client is served in its place, where both lay unread in one iteration and the system reported the copy's connection first. The write does not run twice.

Cause: the statement that was read first was taken for the first. epoll reports connections in the order of their first event since the last report, whatever it was (a new socket counts as ready when it is registered, as it can be written), and the listen backlog was accepted after all of them.

Change: the system records when it gets the bytes of a connection (SO_TIMESTAMPNS on the listener). The library of system call faults covers recvmsg.

--- a/crates/ottersill/src/client/accept.rs
+++ b/crates/ottersill/src/client/accept.rs
@@ -3,10 +3,11 @@
 use std::io;
 use std::net::SocketAddr;
 
-use slog::warn;
+use slog::{info, warn};
 
 use crate::client::connection::{ClientConnection, INCOMPLETE_INPUT_TIMEOUT_SECONDS, UnwatchedClient};
 use crate::client::{AcceptOutcome, Clients};
+use crate::protocol::receive::record_arrivals;
 use crate::protocol::socket;
 use crate::protocol::socket_failure::AcceptFailure;
 use crate::reactor::{Context, Source};
@@ -27,6 +28,9 @@
         context: &mut Context,
     ) -> io::Result<SocketAddr> {
         let socket = socket::listen(address, backlog)?;
+        if let Err(error) = record_arrivals(&socket) {
+            info!(context.log, "arrivals of bytes are estimated"; "error" => %error);
+        }
         let bound_to = socket.local_addr()?.as_socket().unwrap_or(address);
         let (socket, token) = context.register(socket, Source::Listener)?;
         self.listener.open(socket, token);
--- a/crates/ottersill/src/client/connection.rs
+++ b/crates/ottersill/src/client/connection.rs
@@ -1,5 +1,6 @@
 //! Client connections.
 
+use std::io;
 use std::net::SocketAddr;
 use std::rc::Rc;
 
@@ -10,7 +11,7 @@
 use crate::client::arrivals::Arrivals;
 use crate::client::pipelining::Pipeline;
 use crate::protocol::frame::Encryption;
-use crate::protocol::read_buffer::ReadBuffer;
+use crate::protocol::read_buffer::{ReadBuffer, ReadOutcome};
 use crate::protocol::socket::Outbox;
 use crate::timers::TimerHandle;
 
@@ -97,6 +98,8 @@
     pub rejected_rest: Option<RejectedRest>,
     /// Output that is not written yet; holds at most one answer, because the next query waits until the answer is written.
     pub outbox: Outbox,
+    /// The result of reading the socket, until the client's turn comes.
+    pub received: Option<io::Result<ReadOutcome>>,
     /// Whether the socket may hold more input without a further readiness event to report it.
     pub may_have_unread: bool,
     /// Since when input may lie unread at the socket; none if all was read and nothing has been reported since.
@@ -134,6 +137,7 @@
             pipeline: Pipeline::default(),
             rejected_rest: None,
             outbox: Outbox::default(),
+            received: None,
             may_have_unread: false,
             unread_since: None,
             is_deferred: false,
--- a/crates/ottersill/src/client/mod.rs
+++ b/crates/ottersill/src/client/mod.rs
@@ -10,6 +10,7 @@
 mod limits;
 mod listener;
 pub mod pipelining;
+mod receiving;
 mod session;
 pub mod table;
 mod time_limits;
@@ -51,7 +52,7 @@
 /// Result of accepting the next client.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum AcceptOutcome {
-    /// A client was accepted with this id, and its input has to be read at once.
+    /// A client was accepted with this id, and its input has to be read in this iteration.
     Client(usize),
     /// The client was closed because its socket could not be registered with the event loop before its deadline.
     Closed,
--- /dev/null
+++ b/crates/ottersill/src/client/receiving.rs
@@ -0,0 +1,98 @@
+//! Reading the clients that have become ready, before any of their messages is handled: a statement counts as accepted from its
+//! last byte, so ids are held in the order in which the statements arrived, whichever connection the system reports first.
+
+use std::time::SystemTime;
+
+use crate::client::Clients;
+use crate::client::connection::{ClientConnection, ConnectionPhase};
+use crate::client::session::{ClientMessage, take_message};
+use crate::protocol::read_buffer::ReadOutcome;
+use crate::protocol::receive::receive;
+use crate::reactor::Context;
+
+/// Maximum number of bytes read from a client at a time: reading takes long if they arrived one by one.
+const MAX_BYTES_PER_VISIT: usize = 16 * 1024;
+
+impl Clients {
+    /// Reads these clients and holds the ids of their statements in the order in which the statements arrived. Returns the
+    /// clients in that order. Their messages are handled by [`on_ready`](Self::on_ready).
+    pub fn receive_all(&mut self, ids: &[usize], context: &mut Context) -> Vec<usize> {
+        let mut received: Vec<(Option<SystemTime>, usize)> =
+            ids.iter().map(|id| (self.receive(*id, context), *id)).collect();
+        received.sort_by_key(|(arrived_at, _)| *arrived_at);
+        let in_order: Vec<usize> = received.into_iter().map(|(_, id)| id).collect();
+        in_order.iter().for_each(|id| self.hold_ids(*id, context));
+        in_order
+    }
+
+    /// Reads a client unless what was read before still waits to be handled. Returns when the last byte arrived, if any did.
+    fn receive(&mut self, id: usize, context: &mut Context) -> Option<SystemTime> {
+        let client = self.table.get_mut(id)?;
+        if !client.may_receive() {
+            return None;
+        }
+        if let Some(outcome) = &mut client.received {
+            // No event reports again what has become ready since then.
+            if matches!(outcome, Ok(ReadOutcome::Drained)) {
+                *outcome = Ok(ReadOutcome::MoreToRead);
+            }
+            return None;
+        }
+        let max_bytes = self.max_input_bytes(id);
+        let client = &mut self.table[id];
+        client.last_read_at = context.now();
+        let arrived_at = client.unread_since.take().unwrap_or(context.clock.earliest_arrival_at());
+        let last_arrival = client.receive(max_bytes.min(client.inbox.len() + MAX_BYTES_PER_VISIT));
+        client.sync_arrivals(arrived_at);
+        self.table.count_stored_bytes(id);
+        last_arrival
+    }
+
+    /// Reads a client that was not read in this iteration.
+    pub(super) fn receive_one(&mut self, id: usize, context: &mut Context) {
+        if self.table[id].received.is_none() {
+            self.receive(id, context);
+        }
+    }
+
+    /// Holds the ids of the statements of a client that have become complete. A startup message ahead of them is handled first.
+    fn hold_ids(&mut self, id: usize, context: &mut Context) {
+        while self.table.get(id).is_some_and(|client| client.phase == ConnectionPhase::AwaitingStartup) {
+            let Ok(Some(ClientMessage::Startup(startup, bytes))) = take_message(&mut self.table[id]) else {
+                return;
+            };
+            context.work.count_message(bytes);
+            self.on_startup(id, startup, context);
+            self.table[id].sync_arrivals(context.clock.earliest_arrival_at());
+        }
+        if let Some(client) = self.table.get_mut(id) {
+            client.scan_pipeline(&self.statement_ids, context.now());
+        }
+    }
+}
+
+impl ClientConnection {
+    /// Whether input is read: not once the connection is about to end, nor before the messages are handled that were left to a
+    /// later iteration.
+    fn may_receive(&self) -> bool {
+        !self.is_deferred && !matches!(self.phase, ConnectionPhase::Rejected | ConnectionPhase::Lingering)
+    }
+
+    /// Writes pending output, and reads until `max_bytes` bytes are in the inbox or no more are available. Returns when the last
+    /// byte arrived, if any did.
+    fn receive(&mut self, max_bytes: usize) -> Option<SystemTime> {
+        let mut last_arrival = None;
+        let (inbox, socket) = (&mut self.inbox, &self.socket);
+        let outcome = self.outbox.flush(socket).and_then(|_| {
+            inbox.read_by(max_bytes, |buffer| {
+                let received = receive(socket, buffer)?;
+                if received.bytes > 0 {
+                    last_arrival = received.arrived_at.or_else(|| Some(SystemTime::now()));
+                }
+                Ok(received.bytes)
+            })
+        });
+        self.received = Some(outcome);
+        last_arrival
+    }
+}
--- a/crates/ottersill/src/client/session.rs
+++ b/crates/ottersill/src/client/session.rs
@@ -1,4 +1,4 @@
-//! The session of a client connection: reads its input, and handles it message by message.
+//! The session of a client connection: handles its input message by message.
 
 use bytes::Bytes;
 use slog::info;
@@ -11,18 +11,15 @@
 use crate::protocol::socket;
 use crate::reactor::{Context, Source};
 
-/// Maximum number of bytes read from a client at a time: reading takes long if they arrived one by one.
-const MAX_BYTES_PER_VISIT: usize = 16 * 1024;
-
 /// A complete message of a client.
-enum ClientMessage {
+pub(super) enum ClientMessage {
     /// A startup message, and its length in bytes.
     Startup(Startup, usize),
     Regular(frame::Message),
 }
 
 /// Removes the next message from the inbox of a client that has not sent its startup message yet or is between statements.
-fn take_message(client: &mut ClientConnection) -> Result<Option<ClientMessage>, ProtocolError> {
+pub(super) fn take_message(client: &mut ClientConnection) -> Result<Option<ClientMessage>, ProtocolError> {
     if client.phase == ConnectionPhase::AwaitingStartup {
         let inbox_bytes = client.inbox.len();
         let startup = client.inbox.take(frame::take_startup)?;
@@ -34,7 +31,8 @@
 }
 
 impl Clients {
-    /// Handles the readiness of a connection: writes pending output, reads input, and returns the first event of it.
+    /// Handles a connection whose turn it is: writes pending output, reads input if that was not done yet, and returns the first
+    /// event of it.
     #[must_use]
     pub fn on_ready(&mut self, id: usize, context: &mut Context) -> Option<ClientEvent> {
         match self.table.get(id)?.phase {
@@ -46,23 +44,20 @@
                 self.finish_close(id, context);
                 None
             }
-            phase => self.read(id, matches!(phase, ConnectionPhase::Busy(_)), context),
+            _ if self.table[id].is_deferred => self.continue_deferred(id, context),
+            _ => {
+                self.receive_one(id, context);
+                self.handle_received(id, context)
+            }
         }
     }
 
-    fn read(&mut self, id: usize, is_busy: bool, context: &mut Context) -> Option<ClientEvent> {
+    /// Handles the result of reading a client, and returns the first event of its input.
+    fn handle_received(&mut self, id: usize, context: &mut Context) -> Option<ClientEvent> {
         let max_bytes = self.max_input_bytes(id);
         let client = &mut self.table[id];
-        client.last_read_at = context.now();
-        if client.is_deferred {
-            return self.continue_deferred(id, context);
-        }
-        let max_read_to = max_bytes.min(client.inbox.len() + MAX_BYTES_PER_VISIT);
-        let read =
-            client.outbox.flush(&client.socket).and_then(|_| client.inbox.read(&client.socket, max_read_to));
-        let arrived_at = client.unread_since.take().unwrap_or(context.clock.earliest_arrival_at());
-        client.sync_arrivals(arrived_at);
-        match read {
+        let is_busy = matches!(client.phase, ConnectionPhase::Busy(_));
+        match client.received.take()? {
             Ok(ReadOutcome::Drained) => client.may_have_unread = false,
             // The end of the connection is detected at once, without waiting until the input ahead of it has been read.
             Ok(ReadOutcome::MoreToRead) if socket::has_ended(&client.socket) => {
@@ -70,7 +65,7 @@
             }
             Ok(ReadOutcome::MoreToRead) => {
                 client.may_have_unread = true;
-                client.unread_since = Some(context.now());
+                client.unread_since.get_or_insert(context.now());
                 // The end of the connection may arrive only once the unread input has been read, so reading continues.
                 // While memory is short, reading is postponed.
                 if is_busy && client.inbox.len() < max_bytes {
@@ -86,6 +81,7 @@
     /// handled, except the end of the connection.
     fn continue_deferred(&mut self, id: usize, context: &mut Context) -> Option<ClientEvent> {
         let client = &mut self.table[id];
+        client.last_read_at = context.now();
         client.may_have_unread = true;
         if client.outbox.flush(&client.socket).is_err() || socket::has_ended(&client.socket) {
             return self.close(id, context);
@@ -207,7 +203,7 @@
         }
     }
 
-    fn on_startup(&mut self, id: usize, startup: Startup, context: &mut Context) {
+    pub(super) fn on_startup(&mut self, id: usize, startup: Startup, context: &mut Context) {
         match startup {
             Startup::Version3 => {
                 self.set_phase(id, ConnectionPhase::Idle, context);
--- a/crates/ottersill/src/event_loop/clients.rs
+++ b/crates/ottersill/src/event_loop/clients.rs
@@ -27,36 +27,35 @@
         self.clients.listen(address, backlog, &mut self.context)
     }
 
-    /// Handles readiness of the client listener.
-    pub(super) fn on_listener_ready(&mut self) {
-        if self.accept_clients(MAX_ACCEPTS_PER_WAKE, ACCEPT_WORK) {
+    /// Handles readiness of the client listener. Returns the clients that were accepted.
+    pub(super) fn on_listener_ready(&mut self) -> Vec<usize> {
+        let (accepted, may_have_more) = self.accept_clients(MAX_ACCEPTS_PER_WAKE, ACCEPT_WORK);
+        if may_have_more {
             self.context.wake(Source::Listener);
         } else {
             self.clients.close_listener_if_drained(&self.context);
         }
+        accepted
     }
 
-    /// Accepts clients: at most `limit`, and none after `work` units of work. Returns whether more may be waiting.
-    fn accept_clients(&mut self, limit: usize, work: u64) -> bool {
+    /// Accepts clients: at most `limit`, and none after `work` units of work. Returns them, and whether more may be waiting.
+    fn accept_clients(&mut self, limit: usize, work: u64) -> (Vec<usize>, bool) {
+        let mut accepted = Vec::new();
         if !self.clients.begin_accepting(&mut self.context) {
-            return false;
+            return (accepted, false);
         }
         for _ in 0..limit {
             if self.context.work.units() >= work {
-                return true;
+                return (accepted, true);
             }
             let is_admitted = self.make_room_for_client();
             match self.clients.accept_next(is_admitted, &mut self.context) {
-                AcceptOutcome::Client(id) => {
-                    self.read_client(id, SIDE_SHARE);
-                    self.close_surplus_established();
-                }
-                AcceptOutcome::Closed => self.close_surplus_established(),
-                AcceptOutcome::ConnectionFailed => {}
-                AcceptOutcome::BacklogEmpty | AcceptOutcome::Delayed => return false,
+                AcceptOutcome::Client(id) => accepted.push(id),
+                AcceptOutcome::Closed | AcceptOutcome::ConnectionFailed => {}
+                AcceptOutcome::BacklogEmpty | AcceptOutcome::Delayed => return (accepted, false),
             }
         }
-        true
+        (accepted, true)
     }
 
     /// Returns whether one more client can be accepted. Closes idle connections to make room.
@@ -69,7 +68,7 @@
     }
 
     /// Closes idle connections of clients that have sent a query while there are too many such clients.
-    fn close_surplus_established(&mut self) {
+    pub(super) fn close_surplus_established(&mut self) {
         while self.clients.has_surplus_established() && self.close_idle_client(true) {}
     }
 
@@ -90,10 +89,9 @@
     /// Accepts the clients in the listen backlog, closes the listener, and from now on closes client connections once they are
     /// idle.
     pub fn drain(&mut self) {
-        // In the usual order, clients before the listener: of two statements with the same id the first keeps it.
-        self.read_all_clients();
         // A client whose connection the system has already established may have sent a statement, which counts as accepted.
         self.accept_clients(usize::MAX, u64::MAX);
+        self.read_all_clients();
         self.clients.start_draining();
         self.clients.close_listener_if_drained(&self.context);
         // Once more, as statements that have arrived by now count as accepted.
@@ -101,9 +99,11 @@
         self.run_routing_actions();
     }
 
+    /// Reads all clients, and handles their messages in the order in which their input arrived.
     fn read_all_clients(&mut self) {
         let all: Vec<usize> = self.clients.iter().map(|(id, _)| id).collect();
-        all.into_iter().for_each(|id| self.read_client(id, SIDE_SHARE));
+        let in_order = self.clients.receive_all(&all, &mut self.context);
+        in_order.into_iter().for_each(|id| self.read_client(id, SIDE_SHARE));
     }
 
     /// Handles readiness of a client connection.
--- a/crates/ottersill/src/event_loop/mod.rs
+++ b/crates/ottersill/src/event_loop/mod.rs
@@ -135,12 +135,15 @@
     pub fn poll_once(&mut self) {
         self.context.clock.begin_iteration();
         self.update_fleet_quota();
-        self.queue_ready_sources();
         self.visit_began_at = self.context.now();
+        let has_accepted = self.queue_ready_sources();
         while let Some(source) = self.sources.pop() {
             let work = self.visit(source.kind(), |event_loop| event_loop.on_ready(source));
             self.sources.record_work(source, source.urgency(), work);
         }
+        if has_accepted {
+            self.close_surplus_established();
+        }
         self.handle_expired_timers();
         self.run_routing_actions();
         self.flush_fleet();
@@ -148,14 +151,40 @@
         self.context.statistics.record_iteration(seconds);
     }
 
-    /// Begins a round of the sources, and queues those that have become ready or were woken.
-    fn queue_ready_sources(&mut self) {
+    /// Begins a round of the sources, and queues those that have become ready or were woken. Clients are accepted and read
+    /// before, so that they are queued in the order in which their input arrived. Returns whether clients were accepted.
+    fn queue_ready_sources(&mut self) -> bool {
         self.sources.begin_round();
         self.context.statistics.record_waiting(self.sources.len());
+        let mut ready_clients = Vec::new();
+        let mut accepted_clients = Vec::new();
         for source in self.context.readiness().take() {
-            if let Source::Client(id) = source {
-                self.clients.note_ready(id, self.context.clock.earliest_arrival_at());
+            match source {
+                Source::Client(id) => {
+                    self.clients.note_ready(id, self.context.clock.earliest_arrival_at());
+                    ready_clients.push(id);
+                }
+                Source::Listener => {
+                    self.visit(source.kind(), |event_loop| accepted_clients = event_loop.on_listener_ready());
+                }
+                _ => self.sources.push(source, source.urgency()),
             }
+        }
+        ready_clients.extend(&accepted_clients);
+        self.queue_clients(&ready_clients);
+        !accepted_clients.is_empty()
+    }
+
+    /// Reads clients and queues them in the order in which their input arrived.
+    fn queue_clients(&mut self, ids: &[usize]) {
+        if ids.is_empty() {
+            return;
+        }
+        let mut in_order = Vec::new();
+        self.visit(SourceKind::Client, |event_loop| {
+            in_order = event_loop.clients.receive_all(ids, &mut event_loop.context);
+        });
+        for source in in_order.into_iter().map(Source::Client) {
             self.sources.push(source, source.urgency());
         }
     }
@@ -189,7 +218,8 @@
             }
             Source::Backend(id) => self.on_backend_ready(id),
             Source::Client(id) => self.on_client_ready(id),
-            Source::Listener => self.on_listener_ready(),
+            // Handled before the sources are queued.
+            Source::Listener => {}
         }
     }
 
--- a/crates/ottersill/src/protocol/mod.rs
+++ b/crates/ottersill/src/protocol/mod.rs
@@ -3,6 +3,7 @@
 #[allow(clippy::cast_possible_truncation, reason = "message lengths fit into the 32-bit length field")]
 pub mod frame;
 pub mod read_buffer;
+pub mod receive;
 pub mod socket;
 pub mod socket_failure;
 #[allow(
--- a/crates/ottersill/src/protocol/read_buffer.rs
+++ b/crates/ottersill/src/protocol/read_buffer.rs
@@ -65,6 +65,18 @@
     /// # Errors
     /// If the connection has failed.
     pub fn read(&mut self, mut socket: &Socket, max_bytes: usize) -> io::Result<ReadOutcome> {
+        self.read_by(max_bytes, |buffer| socket.read(buffer))
+    }
+
+    /// Like [`read`](Self::read), from a source that `receive` reads: it returns how many bytes it has written to its buffer.
+    ///
+    /// # Errors
+    /// The errors of `receive`, except that nothing is available or that it was interrupted.
+    pub fn read_by(
+        &mut self,
+        max_bytes: usize,
+        mut receive: impl FnMut(&mut [u8]) -> io::Result<usize>,
+    ) -> io::Result<ReadOutcome> {
         for _ in 0..MAX_READS_PER_WAKE {
             let from = self.bytes.len();
             if from >= max_bytes {
@@ -72,7 +84,7 @@
             }
             let room = self.make_room(max_bytes);
             self.bytes.resize(from + room.min(READ_CHUNK_BYTES), 0);
-            let read = socket.read(&mut self.bytes[from..]);
+            let read = receive(&mut self.bytes[from..]);
             self.bytes.truncate(from + *read.as_ref().unwrap_or(&0));
             match read {
                 Ok(0) => return Ok(ReadOutcome::Ended),
--- a/crates/ottersill/src/reactor.rs
+++ b/crates/ottersill/src/reactor.rs
@@ -99,7 +99,7 @@
     }
 
     /// Takes out the sources to handle, each once: in the order of the variants, and clients in the order in which they became
-    /// ready. Of two clients that send statements with the same id, the one that sent first is read first.
+    /// ready.
     pub fn take(&mut self) -> Vec<Source> {
         let mut sources = mem::take(&mut self.sources);
         let mut taken = BTreeSet::new();
--- a/crates/routing/src/fair_queue.rs
+++ b/crates/routing/src/fair_queue.rs
@@ -13,10 +13,10 @@
 pub const ORDINARY_SHARE: u64 = 8;
 /// Units of work for which an urgent source is served at a time: the messages of a few answers.
 pub const URGENT_SHARE: u64 = 64;
-/// Units of work for a client that is read beside another source: as it is accepted, as its timer has expired, or as it may be
-/// closed to make room. Enough for a startup message and a first statement.
+/// Units of work for a client that is read beside another source: as its timer has expired, or as it may be closed to make
+/// room. Enough for a startup message and a first statement.
 pub const SIDE_SHARE: u64 = 4;
-/// Units of work in a visit to the listener, with the first messages of the clients that it accepts, after which the visit ends.
+/// Units of work in a visit to the listener, with the messages of clients that are closed to make room, after which the visit ends.
 pub const ACCEPT_WORK: u64 = 128;
 /// Units of work of ordinary and backlogged sources in one round, after which the round ends.
 const WORK_PER_ROUND: u64 = 256;
--- a/crates/syscall-faults/src/hooks.rs
+++ b/crates/syscall-faults/src/hooks.rs
@@ -278,6 +278,35 @@
     call_next!(c"recv", fn(descriptor: c_int, buffer: *mut c_void, size: size_t, flags: c_int) -> ssize_t)
 }
 
+/// # Safety
+/// As for `recvmsg`.
+#[unsafe(no_mangle)]
+pub unsafe extern "C" fn recvmsg(descriptor: c_int, message: *mut msghdr, flags: c_int) -> ssize_t {
+    let shortened = match scheduled_fault(Call::Receive, || target_of(descriptor)) {
+        Some(Fault::Errno(errno)) => return fail_transfer(descriptor, errno),
+        // SAFETY: the caller's message is valid.
+        Some(_) => unsafe { copy_first_buffer(message) },
+        None => None,
+    };
+    let Some((mut header, mut buffer)) = shortened else {
+        return call_next!(c"recvmsg", fn(descriptor: c_int, message: *mut msghdr, flags: c_int) -> ssize_t);
+    };
+    buffer.iov_len = buffer.iov_len.min(1);
+    header.msg_iov = &raw mut buffer;
+    header.msg_iovlen = 1;
+    let caller_message = message;
+    let message = &raw mut header;
+    let received =
+        call_next!(c"recvmsg", fn(descriptor: c_int, message: *mut msghdr, flags: c_int) -> ssize_t);
+    // SAFETY: the caller's message is valid; it gets what the system has written to the copy.
+    unsafe {
+        (*caller_message).msg_controllen = header.msg_controllen;
+        (*caller_message).msg_flags = header.msg_flags;
+        (*caller_message).msg_namelen = header.msg_namelen;
+    }
+    received
+}
+
 /// # Safety
 /// As for `send`.
 #[unsafe(no_mangle)]
