Do not count a connection whose statements were refused as one that sent none

What callers saw: a client whose statements were all refused (invalid, or without memory) is closed 2.6 s after it connected, also just after an answer and in the middle of its next statement, with a fatal error that leaves the statements behind it unanswered.

Cause: the time limit of a connection goes by has_queried, which is set only as a statement is passed to the routing module, and by the phase, which a refusal does not change.

Change: a refusal is recorded with its time (refused_at); time limits go by it as by the end of a statement. Room for others is made as before: such a connection still counts as one that has not queried.

--- a/crates/ottersill/src/client/answers.rs
+++ b/crates/ottersill/src/client/answers.rs
@@ -41,22 +41,21 @@
     /// Rejects a query that this service does not accept, and keeps the connection open.
     pub fn reject_query(&mut self, id: usize, code: ErrorCode, text: &str, context: &mut Context) {
         context.counters.invalid_queries += 1;
-        let error = frame::error("ERROR", code, text, None);
-        self.send(id, [error, frame::READY_FOR_QUERY.clone()], context);
+        self.refuse_statement(id, frame::error("ERROR", code, text, None), context);
     }
 
     /// Rejects a statement because no endpoint list has arrived yet. The statement was never sent, so a retry is safe.
     pub fn reject_without_list(&mut self, id: usize, retry_after: f64, context: &mut Context) {
         context.counters.rejected_without_endpoint_list += 1;
         let error = rejection(retry_after, "rejected: no list of hosts has come yet");
-        self.send(id, [error, frame::READY_FOR_QUERY.clone()], context);
+        self.refuse_statement(id, error, context);
     }
 
     /// Rejects a statement for which there is no memory. The statement was never sent, so a retry is safe.
     pub fn reject_without_memory(&mut self, id: usize, retry_after: f64, context: &mut Context) {
         context.counters.rejected_without_memory += 1;
         let error = rejection(retry_after, "rejected: no memory is left for this statement");
-        self.send(id, [error, frame::READY_FOR_QUERY.clone()], context);
+        self.refuse_statement(id, error, context);
     }
 
     /// Rejects a statement of a client for which there is no room. The connection is closed only with the last statement that
@@ -67,7 +66,12 @@
         if client.inbox.is_empty() && !client.may_have_unread {
             return self.reject_connection(id, ErrorCode::TooMany, REASON, context);
         }
-        let error = frame::error("ERROR", ErrorCode::TooMany, REASON, None);
+        self.refuse_statement(id, frame::error("ERROR", ErrorCode::TooMany, REASON, None), context);
+    }
+
+    /// Answers a statement with an error although it was not passed to the routing module.
+    fn refuse_statement(&mut self, id: usize, error: Bytes, context: &mut Context) {
+        self.table[id].refused_at = Some(context.now());
         self.send(id, [error, frame::READY_FOR_QUERY.clone()], context);
     }
 
--- a/crates/ottersill/src/client/connection.rs
+++ b/crates/ottersill/src/client/connection.rs
@@ -108,8 +108,10 @@
     pub is_deferred: bool,
     /// The kinds of encryption that the client has requested, each of which was refused.
     pub refused_encryption: Vec<Encryption>,
-    /// Whether the client has sent a statement on this connection.
+    /// Whether a statement of the client was passed to the routing module.
     pub has_queried: bool,
+    /// When a statement of the client was last refused or rejected before it got there.
+    pub refused_at: Option<f64>,
     /// Bytes that [`ClientTable`](crate::client::table::ClientTable) counts for this connection.
     pub stored_bytes: usize,
 }
@@ -143,6 +145,7 @@
             is_deferred: false,
             refused_encryption: Vec::new(),
             has_queried: false,
+            refused_at: None,
             stored_bytes: 0,
         }
     }
--- a/crates/ottersill/src/client/time_limits.rs
+++ b/crates/ottersill/src/client/time_limits.rs
@@ -89,7 +89,9 @@
     pub(super) fn deadline(&self, client: &ClientConnection, now: f64) -> f64 {
         let partial_message_since = client.partial_message_since(now);
         let has_partial_message = partial_message_since.is_some();
-        let is_new = !client.has_queried && client.rejected_rest.is_none();
+        let is_new = !client.has_queried && client.refused_at.is_none() && client.rejected_rest.is_none();
+        // An answered statement that went no further than this connection changes no phase.
+        let idle_since = client.refused_at.unwrap_or(client.phase_since).max(client.phase_since);
         match client.phase {
             ConnectionPhase::Busy(_) => f64::INFINITY,
             // A message that was begun behind a statement gets some time after the answer to be completed. A client that does
@@ -103,12 +105,12 @@
             }
             ConnectionPhase::Idle if has_partial_message => {
                 let deadline = partial_message_since.unwrap_or(now) + INCOMPLETE_INPUT_TIMEOUT_SECONDS;
-                deadline.max(client.phase_since + REMAINDER_TIMEOUT_SECONDS).min(self.answer_deadline)
+                deadline.max(idle_since + REMAINDER_TIMEOUT_SECONDS).min(self.answer_deadline)
             }
             ConnectionPhase::Idle if !client.outbox.is_empty() => {
-                client.phase_since + INCOMPLETE_INPUT_TIMEOUT_SECONDS
+                idle_since + INCOMPLETE_INPUT_TIMEOUT_SECONDS
             }
-            _ => client.phase_since + IDLE_TIMEOUT_SECONDS,
+            _ => idle_since + IDLE_TIMEOUT_SECONDS,
         }
     }
 
--- a/crates/ottersill/tests/long_statements.rs
+++ b/crates/ottersill/tests/long_statements.rs
@@ -130,3 +130,54 @@
     assert_read_is_served(&fixture, &mut client);
     drop(half_sent);
 }
+
+/// How a statement is answered that goes no further than its client's connection.
+#[derive(Clone, Copy, Debug)]
+enum Refusal {
+    /// It names a workload that does not exist.
+    Invalid,
+    /// There is no memory for it.
+    NoMemory,
+}
+
+impl Refusal {
+    /// Has a statement of the client refused.
+    fn provoke(self, fixture: &Fixture, client: &mut Client) {
+        match self {
+            Refusal::Invalid => {
+                let answer = client.query(&read(100, 8000).replace("c=get", "c=unknown")).expect("no answer");
+                assert!(answer.starts_with('C'), "{answer}");
+            }
+            Refusal::NoMemory => {
+                let half_sent = use_up_memory(fixture);
+                client.socket.write_all(&long_write(100)).expect("statement could not be sent");
+                assert_rejected(client);
+                drop(half_sent);
+            }
+        }
+    }
+}
+
+/// Guards against statements that are never answered: a connection on which all before them were refused was closed as one that
+/// had sent none, in the middle of a statement.
+#[rstest]
+fn a_connection_whose_statements_were_refused_goes_on(
+    #[values(Refusal::Invalid, Refusal::NoMemory)] refusal: Refusal,
+    #[values(false, true)] is_begun_before_the_time_limit: bool,
+) {
+    // A client that has sent nothing is closed 2.6 s after it has connected.
+    const SHORTLY_BEFORE_THE_TIME_LIMIT: Duration = Duration::from_millis(2400);
+    const AFTER_THE_TIME_LIMIT: Duration = Duration::from_millis(2900);
+    let fixture = Fixture::start(&SETTINGS);
+    let mut client = fixture.router.client();
+    let connected = Instant::now();
+    std::thread::sleep(Duration::from_millis(1500));
+    refusal.provoke(&fixture, &mut client);
+    let bytes = query(&read(7, 8000));
+    let begun = if is_begun_before_the_time_limit { bytes.len() / 2 } else { 0 };
+    std::thread::sleep(SHORTLY_BEFORE_THE_TIME_LIMIT.saturating_sub(connected.elapsed()));
+    client.socket.write_all(&bytes[..begun]).expect("statement could not be sent");
+    std::thread::sleep(AFTER_THE_TIME_LIMIT.saturating_sub(connected.elapsed()));
+    client.socket.write_all(&bytes[begun..]).expect("statement could not be sent");
+    assert_read_is_served(&fixture, &mut client);
+}
