Read the clients that are ready before others are accepted, so that ends make room

What callers saw: since ids are held in the order in which statements arrived, clients were accepted before the ready ones were read. Connections whose clients had left still held their places, so clients that connected in the same iteration were rejected, or idle ones closed, for want of room.

Change: ready clients are read first, and closed if their connections have ended; then the backlog is accepted and read; ids are held in the order of arrival over both, as before.

--- a/crates/ottersill/src/client/mod.rs
+++ b/crates/ottersill/src/client/mod.rs
@@ -10,7 +10,7 @@
 mod limits;
 mod listener;
 pub mod pipelining;
-mod receiving;
+pub mod receiving;
 mod session;
 pub mod table;
 mod time_limits;
--- a/crates/ottersill/src/client/receiving.rs
+++ b/crates/ottersill/src/client/receiving.rs
@@ -3,9 +3,9 @@
 
 use std::time::SystemTime;
 
-use crate::client::Clients;
 use crate::client::connection::{ClientConnection, ConnectionPhase};
 use crate::client::session::{ClientMessage, take_message};
+use crate::client::{ClientEvent, Clients};
 use crate::protocol::read_buffer::ReadOutcome;
 use crate::protocol::receive::receive;
 use crate::reactor::Context;
@@ -13,18 +13,42 @@
 /// Maximum number of bytes read from a client at a time: reading takes long if they arrived one by one.
 const MAX_BYTES_PER_VISIT: usize = 16 * 1024;
 
+/// A client that was read.
+#[derive(Clone, Copy, Debug)]
+pub struct ReceivedClient {
+    /// Its number.
+    pub id: usize,
+    /// When its last byte arrived, by the system's clock; none if nothing was read.
+    pub arrived_at: Option<SystemTime>,
+}
+
 impl Clients {
-    /// Reads these clients and holds the ids of their statements in the order in which the statements arrived. Returns the
-    /// clients in that order. Their messages are handled by [`on_ready`](Self::on_ready).
-    pub fn receive_all(&mut self, ids: &[usize], context: &mut Context) -> Vec<usize> {
-        let mut received: Vec<(Option<SystemTime>, usize)> =
-            ids.iter().map(|id| (self.receive(*id, context), *id)).collect();
-        received.sort_by_key(|(arrived_at, _)| *arrived_at);
-        let in_order: Vec<usize> = received.into_iter().map(|(_, id)| id).collect();
+    /// Reads these clients. Returns them, each with the time at which its last byte arrived.
+    pub fn receive_all(&mut self, ids: &[usize], context: &mut Context) -> Vec<ReceivedClient> {
+        let receive = |id: &usize| ReceivedClient { id: *id, arrived_at: self.receive(*id, context) };
+        ids.iter().map(receive).collect()
+    }
+
+    /// Holds the ids of the statements of these clients in the order in which the statements arrived. Returns the clients in that
+    /// order. Their messages are handled by [`on_ready`](Self::on_ready).
+    pub fn hold_ids_in_order(
+        &mut self,
+        mut received: Vec<ReceivedClient>,
+        context: &mut Context,
+    ) -> Vec<usize> {
+        received.sort_by_key(|client| client.arrived_at);
+        let in_order: Vec<usize> = received.into_iter().map(|client| client.id).collect();
         in_order.iter().for_each(|id| self.hold_ids(*id, context));
         in_order
     }
 
+    /// Closes a client if it was found to have ended the connection as it was read.
+    #[must_use]
+    pub fn close_if_received_end(&mut self, id: usize, context: &mut Context) -> Option<ClientEvent> {
+        let received = self.table.get(id)?.received.as_ref()?;
+        if matches!(received, Ok(ReadOutcome::Ended) | Err(_)) { self.close(id, context) } else { None }
+    }
+
     /// Reads a client unless what was read before still waits to be handled. Returns when the last byte arrived, if any did.
     fn receive(&mut self, id: usize, context: &mut Context) -> Option<SystemTime> {
         let client = self.table.get_mut(id)?;
--- a/crates/ottersill/src/event_loop/clients.rs
+++ b/crates/ottersill/src/event_loop/clients.rs
@@ -102,7 +102,8 @@
     /// Reads all clients, and handles their messages in the order in which their input arrived.
     fn read_all_clients(&mut self) {
         let all: Vec<usize> = self.clients.iter().map(|(id, _)| id).collect();
-        let in_order = self.clients.receive_all(&all, &mut self.context);
+        let received = self.clients.receive_all(&all, &mut self.context);
+        let in_order = self.clients.hold_ids_in_order(received, &mut self.context);
         in_order.into_iter().for_each(|id| self.read_client(id, SIDE_SHARE));
     }
 
@@ -134,7 +135,7 @@
     }
 
     /// Handles a client's event and the events that follow it, until a request of the client is in flight or no event is left.
-    fn on_client_event(&mut self, id: usize, event: Option<ClientEvent>) {
+    pub(super) fn on_client_event(&mut self, id: usize, event: Option<ClientEvent>) {
         let mut event = event;
         while let Some(next) = event {
             event = match next {
--- a/crates/ottersill/src/event_loop/mod.rs
+++ b/crates/ottersill/src/event_loop/mod.rs
@@ -18,6 +18,7 @@
 use crate::backend::Backends;
 use crate::client::Clients;
 use crate::client::connection_limits::ConnectionLimits;
+use crate::client::receiving::ReceivedClient;
 use crate::clock::milliseconds;
 use crate::control::server::ControlServer;
 use crate::discovery::client::DiscoveryClient;
@@ -151,44 +152,69 @@
         self.context.statistics.record_iteration(seconds);
     }
 
-    /// Begins a round of the sources, and queues those that have become ready or were woken. Clients are accepted and read
+    /// Begins a round of the sources, and queues those that have become ready or were woken. Clients are read and accepted
     /// before, so that they are queued in the order in which their input arrived. Returns whether clients were accepted.
     fn queue_ready_sources(&mut self) -> bool {
         self.sources.begin_round();
         self.context.statistics.record_waiting(self.sources.len());
-        let mut ready_clients = Vec::new();
-        let mut accepted_clients = Vec::new();
-        for source in self.context.readiness().take() {
-            match source {
-                Source::Client(id) => {
-                    self.clients.note_ready(id, self.context.clock.earliest_arrival_at());
-                    ready_clients.push(id);
-                }
-                Source::Listener => {
-                    self.visit(source.kind(), |event_loop| accepted_clients = event_loop.on_listener_ready());
-                }
-                _ => self.sources.push(source, source.urgency()),
+        let (clients, others): (Vec<Source>, Vec<Source>) = self
+            .context
+            .readiness()
+            .take()
+            .into_iter()
+            .partition(|source| matches!(source, Source::Client(_)));
+        let mut received = self.receive_ready_clients(&clients);
+        let mut has_accepted = false;
+        for source in others {
+            if source == Source::Listener {
+                let accepted = self.receive_new_clients();
+                has_accepted = !accepted.is_empty();
+                received.extend(accepted);
+            } else {
+                self.sources.push(source, source.urgency());
             }
         }
-        ready_clients.extend(&accepted_clients);
-        self.queue_clients(&ready_clients);
-        !accepted_clients.is_empty()
+        self.queue_clients(received);
+        has_accepted
     }
 
-    /// Reads clients and queues them in the order in which their input arrived.
-    fn queue_clients(&mut self, ids: &[usize]) {
-        if ids.is_empty() {
+    /// Holds the ids of statements, and queues their clients, in the order in which the statements arrived.
+    fn queue_clients(&mut self, received: Vec<ReceivedClient>) {
+        if received.is_empty() {
             return;
         }
         let mut in_order = Vec::new();
         self.visit(SourceKind::Client, |event_loop| {
-            in_order = event_loop.clients.receive_all(ids, &mut event_loop.context);
+            in_order = event_loop.clients.hold_ids_in_order(received, &mut event_loop.context);
         });
         for source in in_order.into_iter().map(Source::Client) {
             self.sources.push(source, source.urgency());
         }
     }
 
+    /// Reads the clients that are ready. Those that have ended their connections are closed, so that they make room for others.
+    fn receive_ready_clients(&mut self, sources: &[Source]) -> Vec<ReceivedClient> {
+        let mut received = Vec::new();
+        for source in sources {
+            let Source::Client(id) = *source else { continue };
+            self.clients.note_ready(id, self.context.clock.earliest_arrival_at());
+            let client = self.clients.receive_all(&[id], &mut self.context);
+            let event = self.clients.close_if_received_end(id, &mut self.context);
+            self.on_client_event(id, event);
+            if self.clients.get(id).is_some() {
+                received.extend(client);
+            }
+        }
+        received
+    }
+
+    /// Accepts clients and reads them.
+    fn receive_new_clients(&mut self) -> Vec<ReceivedClient> {
+        let mut accepted = Vec::new();
+        self.visit(SourceKind::Listener, |event_loop| accepted = event_loop.on_listener_ready());
+        self.clients.receive_all(&accepted, &mut self.context)
+    }
+
     /// Handles expired timers, as many as one iteration may.
     fn handle_expired_timers(&mut self) {
         for _ in 0..MAX_TIMERS_PER_ITERATION {
--- a/crates/ottersill/tests/support/in_process.rs
+++ b/crates/ottersill/tests/support/in_process.rs
@@ -28,13 +28,18 @@
 impl InProcessRouter {
     /// Starts a router that knows the roles of its endpoints and has a connection to each.
     pub fn start() -> InProcessRouter {
+        InProcessRouter::start_with(&[])
+    }
+
+    /// Like [`start`](Self::start), with parts of the configuration replaced.
+    pub fn start_with(replaced: &[(&str, &str)]) -> InProcessRouter {
         let (primary, replica) = (
             ScriptedEndpoint::start(true).expect("endpoint did not start"),
             ScriptedEndpoint::start(false).expect("endpoint did not start"),
         );
         // No discovery service listens there.
-        let text =
-            config_text(SocketAddr::from(([127, 0, 0, 1], 1)), &[LONG_STATEMENT_TIMEOUT, LONG_SLO_TIME]);
+        let replaced = [&[LONG_STATEMENT_TIMEOUT, LONG_SLO_TIME], replaced].concat();
+        let text = config_text(SocketAddr::from(([127, 0, 0, 1], 1)), &replaced);
         let config = Config::parse(text.as_bytes()).expect("configuration is rejected");
         let limits = config.limits.connection_limits().expect("limits are rejected");
         let timeouts = config.settings.backend_timeouts().expect("settings are rejected");
