Discard the rest of a refused statement at once, so that who has left is found out

Cause: while memory is short the rest of a refused statement was passed over by 4 KiB a visit. The end of the connection lies behind it, so a client that had left kept its place for more than thirty visits, and others were closed for want of room.

Change: the rest is read into a buffer on the stack and discarded, all of it in one visit, as one unit of work for 16 KiB.

--- a/crates/ottersill/src/client/connection.rs
+++ b/crates/ottersill/src/client/connection.rs
@@ -96,6 +96,8 @@
     pub pipeline: Pipeline,
     /// The rest of a message that was rejected before it was complete; it is passed over as it arrives.
     pub rejected_rest: Option<RejectedRest>,
+    /// Bytes of such a rest that were read at the socket and discarded since the client's last turn.
+    pub discarded_bytes: usize,
     /// Output that is not written yet; holds at most one answer, because the next query waits until the answer is written.
     pub outbox: Outbox,
     /// The result of reading the socket, until the client's turn comes.
@@ -138,6 +140,7 @@
             arrivals: Arrivals::default(),
             pipeline: Pipeline::default(),
             rejected_rest: None,
+            discarded_bytes: 0,
             outbox: Outbox::default(),
             received: None,
             may_have_unread: false,
@@ -172,17 +175,20 @@
 
     /// Passes over what has arrived of the rest of a rejected message. Returns the number of bytes.
     pub fn discard_rejected_rest(&mut self) -> usize {
-        let Some(rest) = &mut self.rejected_rest else { return 0 };
+        let Some(rest) = self.rejected_rest else { return 0 };
         let discarded = rest.bytes.min(self.inbox.len());
-        rest.bytes -= discarded;
-        if rest.bytes == 0 {
-            self.rejected_rest = None;
-        }
         self.inbox.discard(discarded);
-        self.pipeline.take(discarded);
+        self.count_discarded(rest, discarded);
         discarded
     }
 
+    /// Records that this many bytes of the rest of a rejected message were passed over.
+    pub fn count_discarded(&mut self, rest: RejectedRest, bytes: usize) {
+        let left = rest.bytes - bytes;
+        self.rejected_rest = (left > 0).then_some(RejectedRest { bytes: left, ..rest });
+        self.pipeline.take(bytes);
+    }
+
     /// Returns when the first byte arrived of a message that is not complete, in Unix seconds; `None` if there is no such
     /// message. `now` is for a byte whose arrival is not recorded.
     pub fn partial_message_since(&self, now: f64) -> Option<f64> {
--- a/crates/ottersill/src/client/receiving.rs
+++ b/crates/ottersill/src/client/receiving.rs
@@ -1,11 +1,13 @@
 //! Reading the clients that have become ready, before any of their messages is handled: a statement counts as accepted from its
 //! last byte, so ids are held in the order in which the statements arrived, whichever connection the system reports first.
 
+use std::io::{self, ErrorKind};
 use std::time::SystemTime;
 
 use crate::client::connection::{ClientConnection, ConnectionPhase};
 use crate::client::session::{ClientMessage, take_message};
 use crate::client::{ClientEvent, Clients};
+use crate::protocol::frame::MAX_MESSAGE_BYTES;
 use crate::protocol::read_buffer::ReadOutcome;
 use crate::protocol::receive::receive;
 use crate::reactor::Context;
@@ -13,6 +15,12 @@
 /// Maximum number of bytes read from a client at a time: reading takes long if they arrived one by one.
 const MAX_BYTES_PER_VISIT: usize = 16 * 1024;
 
+/// Bytes per read of the rest of a rejected message, which is not stored.
+const DISCARD_BUFFER_BYTES: usize = 16 * 1024;
+
+/// Maximum number of reads of the rest of a rejected message in a row: enough for the longest message.
+const MAX_DISCARDS_PER_VISIT: usize = MAX_MESSAGE_BYTES.div_ceil(DISCARD_BUFFER_BYTES);
+
 /// A client that was read.
 #[derive(Clone, Copy, Debug)]
 pub struct ReceivedClient {
@@ -106,17 +114,48 @@
     /// byte arrived, if any did.
     fn receive(&mut self, max_bytes: usize) -> Option<SystemTime> {
         let mut last_arrival = None;
-        let (inbox, socket) = (&mut self.inbox, &self.socket);
-        let outcome = self.outbox.flush(socket).and_then(|_| {
-            inbox.read_by(max_bytes, |buffer| {
-                let received = receive(socket, buffer)?;
-                if received.bytes > 0 {
-                    last_arrival = received.arrived_at.or_else(|| Some(SystemTime::now()));
-                }
-                Ok(received.bytes)
-            })
-        });
+        let flushed = self.outbox.flush(&self.socket);
+        let outcome =
+            flushed.and_then(|_| self.discard_unread_rest()).and_then(|discarded| match discarded {
+                Some(outcome) => Ok(outcome),
+                None => self.read_into_inbox(max_bytes, &mut last_arrival),
+            });
         self.received = Some(outcome);
         last_arrival
     }
+
+    fn read_into_inbox(
+        &mut self,
+        max_bytes: usize,
+        last_arrival: &mut Option<SystemTime>,
+    ) -> io::Result<ReadOutcome> {
+        let socket = &self.socket;
+        self.inbox.read_by(max_bytes, |buffer| {
+            let received = receive(socket, buffer)?;
+            if received.bytes > 0 {
+                *last_arrival = received.arrived_at.or_else(|| Some(SystemTime::now()));
+            }
+            Ok(received.bytes)
+        })
+    }
+
+    /// Reads the rest of a rejected message without storing it, so that a client that has left is found out at once, however
+    /// little memory there is. Returns none if nothing of the rest is left to read.
+    fn discard_unread_rest(&mut self) -> io::Result<Option<ReadOutcome>> {
+        let mut buffer = [0; DISCARD_BUFFER_BYTES];
+        for _ in 0..MAX_DISCARDS_PER_VISIT {
+            let Some(rest) = self.rejected_rest.filter(|_| self.inbox.is_empty()) else { return Ok(None) };
+            match receive(&self.socket, &mut buffer[..rest.bytes.min(DISCARD_BUFFER_BYTES)]) {
+                Ok(received) if received.bytes == 0 => return Ok(Some(ReadOutcome::Ended)),
+                Ok(received) => {
+                    self.count_discarded(rest, received.bytes);
+                    self.discarded_bytes += received.bytes;
+                }
+                Err(error) if error.kind() == ErrorKind::WouldBlock => return Ok(Some(ReadOutcome::Drained)),
+                Err(error) if error.kind() == ErrorKind::Interrupted => {}
+                Err(error) => return Err(error),
+            }
+        }
+        Ok(Some(ReadOutcome::MoreToRead))
+    }
 }
--- a/crates/ottersill/src/client/session.rs
+++ b/crates/ottersill/src/client/session.rs
@@ -1,5 +1,7 @@
 //! The session of a client connection: handles its input message by message.
 
+use std::mem;
+
 use bytes::Bytes;
 use slog::info;
 
@@ -109,9 +111,9 @@
         loop {
             let client = self.table.get_mut(id)?;
             client.sync_arrivals(context.clock.earliest_arrival_at());
-            let discarded = client.discard_rejected_rest();
+            let discarded = client.discard_rejected_rest() + mem::take(&mut client.discarded_bytes);
             if discarded > 0 {
-                context.work.count_message(discarded);
+                context.work.count_discarded(discarded);
                 client.sync_arrivals(context.clock.earliest_arrival_at());
             }
             client.scan_pipeline(&self.statement_ids, context.now());
--- a/crates/ottersill/src/work_meter.rs
+++ b/crates/ottersill/src/work_meter.rs
@@ -5,6 +5,9 @@
 /// Bytes of a message whose handling is counted as one unit of work, beyond the one for the message.
 const BYTES_PER_UNIT: usize = 1024;
 
+/// Bytes that are read and discarded for one unit of work.
+const DISCARDED_BYTES_PER_UNIT: usize = 16 * 1024;
+
 /// The work of the current visit to a source, in the units of [`ottersill_routing::fair_queue`].
 #[derive(Clone, Copy, Debug)]
 pub struct WorkMeter {
@@ -27,6 +30,11 @@
         self.units += 1 + (bytes / BYTES_PER_UNIT) as u64;
     }
 
+    /// Counts bytes that were read and discarded.
+    pub fn count_discarded(&mut self, bytes: usize) {
+        self.units += 1 + (bytes / DISCARDED_BYTES_PER_UNIT) as u64;
+    }
+
     /// Returns the units of work in this visit so far.
     pub fn units(&self) -> u64 {
         self.units
